--- /dev/null
+++ b/internal/gateway/decode.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/openai"
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/backend"
+	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/config"
+)
+
+// forwardedHeaders are the request headers that a plain service receives; the others concern the hop to this node.
+var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "User-Agent"}
+
+// authenticate returns the workspace of the bearer token and the configuration that knows it.
+func (g *gateway) authenticate(r *http.Request) (*pb.Workspace, *config.Index, error) {
+	index := g.Node.Config()
+	if index == nil {
+		return nil, nil, code.New(code.NoConfiguration, "the node waits for a configuration").After(time.Second)
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return nil, nil, code.New(code.TokenMissing, "the Authorization header has no bearer token")
+	}
+	workspace, ok := index.Workspace(token)
+	if !ok {
+		return nil, nil, code.New(code.TokenRefused, "the bearer token is not known")
+	}
+	return workspace, index, nil
+}
+
+// readBody reads a body of at most limit bytes.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, code.New(code.BodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, code.Wrap(code.MalformedRequest, code.RanNo, "the body could not be read", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, code.New(code.BodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
+	}
+	return body, nil
+}
+
+// deadline returns when the caller stops waiting.
+func deadline(r *http.Request, limit time.Duration) (time.Time, error) {
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return time.Now().Add(limit), nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || ms == 0 {
+		return time.Time{}, code.New(code.MalformedRequest, HeaderTimeout+" is not a number of milliseconds")
+	}
+	return time.Now().Add(min(limit, time.Duration(ms)*time.Millisecond)), nil
+}
+
+func (g *gateway) decodeGeneration(_ context.Context, r *http.Request) (any, error) {
+	workspace, index, err := g.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := readBody(r, index.Policy().MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	request, err := openai.ParseRequest(r.URL.Path, body)
+	if err != nil {
+		return nil, code.New(code.MalformedRequest, err.Error())
+	}
+	model, err := permittedModel(index, workspace, request.Model)
+	if err != nil {
+		return nil, err
+	}
+	end, err := deadline(r, maxGeneration)
+	if err != nil {
+		return nil, err
+	}
+	return StartRequest{workspace, model, request, r.URL.Path, body, end}, nil
+}
+
+func permittedModel(index *config.Index, workspace *pb.Workspace, name string) (config.Model, error) {
+	model, ok := index.Model(name)
+	if !ok {
+		return config.Model{}, code.New(code.UnknownModel, fmt.Sprintf("model %q is not configured", name))
+	}
+	if !config.MayUseModel(workspace, model.Name) {
+		return config.Model{}, code.New(code.NotPermitted, "the workspace may not use this model")
+	}
+	return model, nil
+}
+
+func (g *gateway) decodeWorkspace(_ context.Context, r *http.Request) (any, error) {
+	workspace, _, err := g.authenticate(r)
+	return workspace, err
+}
+
+func decodeCaller(_ context.Context, r *http.Request) (any, error) { return host(r.RemoteAddr), nil }
+
+type resumeRequest struct {
+	workspace string
+	id        string
+	offset    uint32
+}
+
+func (g *gateway) decodeResume(_ context.Context, r *http.Request) (any, error) {
+	workspace, _, err := g.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
+	out := resumeRequest{workspace: workspace.Name, id: r.PathValue("id")}
+	if last := r.Header.Get(HeaderLastEventID); last != "" {
+		offset, err := strconv.ParseUint(last, 10, 32)
+		if err != nil {
+			return nil, code.New(code.InvalidEventID, "Last-Event-ID is not a number")
+		}
+		out.offset = uint32(offset)
+	}
+	return out, nil
+}
+
+func (g *gateway) decodeCall(_ context.Context, r *http.Request) (any, error) {
+	workspace, index, err := g.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
+	service, ok := index.Service(r.PathValue("service"))
+	if !ok {
+		return nil, code.New(code.UnknownService, fmt.Sprintf("service %q is not configured", r.PathValue("service")))
+	}
+	if !config.MayUseService(workspace, service.Name) {
+		return nil, code.New(code.NotPermitted, "the workspace may not use this service")
+	}
+	path := "/" + r.PathValue("path")
+	call := ServiceCall{Workspace: workspace, Service: service, Route: service.Route(r.Method, path)}
+	if call.Key, err = idempotencyKey(r, call.Route); err != nil {
+		return nil, err
+	}
+	if call.Deadline, err = deadline(r, service.Timeout); err != nil {
+		return nil, err
+	}
+	body, err := readBody(r, index.Policy().MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	call.Request = backend.CallRequest{Method: r.Method, Path: path, Header: forwarded(r.Header), Body: body}
+	return call, nil
+}
+
+// idempotencyKey returns the key, which only non-repeatable routes require.
+func idempotencyKey(r *http.Request, route *pb.Route) (string, error) {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxIdempotencyKeyBytes {
+		return "", code.New(code.IdempotencyKeyRequired, "Idempotency-Key is longer than 255 bytes")
+	}
+	if key == "" && route.NonRepeatable {
+		return "", code.New(code.IdempotencyKeyRequired, "this route needs an Idempotency-Key header")
+	}
+	return key, nil
+}
+
+func forwarded(in http.Header) http.Header {
+	out := http.Header{}
+	for _, name := range forwardedHeaders {
+		if value := in.Get(name); value != "" {
+			out.Set(name, value)
+		}
+	}
+	return out
+}
+
+var errNoFlush = errors.New("gateway: the connection cannot be flushed")
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,200 @@
+// Package gateway is the HTTP edge of an entry node: go-kit endpoints behind net/http.
+//
+// The gateway authenticates, checks sizes and forms, and turns every error into a refusal with a numbered code. It
+// decides nothing about servers or limits; the parts that do are the small interfaces declared here. An
+// authentication failure is found before the body is read.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenlug/pollenlug/internal/metrics"
+	"github.com/pollenlug/pollenlug/internal/openai"
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/backend"
+	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/config"
+	"github.com/pollenlug/pollenlug/pkg/stream"
+)
+
+// Headers of the interface to callers.
+const (
+	HeaderCode           = "X-Pollenlug-Code"
+	HeaderTimeout        = "X-Pollenlug-Timeout-Ms" // how long the caller waits for the whole answer, in milliseconds
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderLastEventID    = "Last-Event-ID"
+)
+
+// Limits of the edge.
+const (
+	maxIdempotencyKeyBytes = 255
+	// maxGeneration bounds a generation whose caller states no timeout.
+	maxGeneration = 10 * time.Minute
+	// entriesTTL is how long callers may keep the answer of /v1/entries.
+	entriesTTL = 30 * time.Second
+)
+
+// Generation is an accepted or attached response that is being read.
+type Generation struct {
+	Log *stream.Log
+	// Close tells that this reader has ended.
+	Close func()
+}
+
+// StartRequest is a generation request after the checks of the edge.
+type StartRequest struct {
+	Workspace *pb.Workspace
+	Model     config.Model
+	Request   openai.Request
+	Path      string
+	Body      []byte
+	Deadline  time.Time
+}
+
+// Responses starts and finds responses.
+type Responses interface {
+	// Start returns when the request is accepted: it has a log, here and on a replica.
+	Start(ctx context.Context, req StartRequest) (*Generation, error)
+	// Attach finds a response of the workspace on any node.
+	Attach(ctx context.Context, workspace, id string) (*Generation, error)
+}
+
+// ServiceCall is a call to a plain service after the checks of the edge.
+type ServiceCall struct {
+	Workspace *pb.Workspace
+	Service   *config.Service
+	Route     *pb.Route
+	Key       string // Idempotency-Key, for non-repeatable routes
+	Request   backend.CallRequest
+	Deadline  time.Time
+}
+
+// Services calls plain services.
+type Services interface {
+	Call(ctx context.Context, call ServiceCall) (backend.CallResponse, error)
+}
+
+// Entry is one address for callers.
+type Entry struct {
+	Addr          string `json:"addr"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	Load          uint32 `json:"load"`
+}
+
+// Node is what the edge asks its entry node.
+type Node interface {
+	// Config returns the configuration in force, or nil.
+	Config() *config.Index
+	// Entries returns the live entry nodes, best first for the caller.
+	Entries(caller string) []Entry
+	// Leaving tells that the node takes no new work.
+	Leaving() bool
+	Ready() bool
+	// Status returns a value that is shown as JSON.
+	Status() any
+}
+
+// Options are the parts of a gateway.
+type Options struct {
+	Node      Node
+	Responses Responses
+	Services  Services
+	Metrics   *metrics.Set
+	Log       *logrus.Entry
+}
+
+type gateway struct {
+	Options
+}
+
+// New returns the handler of an entry node.
+func New(opts Options) http.Handler {
+	g := &gateway{opts}
+	mux := http.NewServeMux()
+	g.handle(mux, "POST "+openai.ChatPath, g.work(g.server(g.generate, g.decodeGeneration, g.encodeGeneration)))
+	g.handle(mux, "POST "+openai.CompletionPath, g.work(g.server(g.generate, g.decodeGeneration, g.encodeGeneration)))
+	g.handle(mux, "GET /v1/models", g.server(g.models, g.decodeWorkspace, encodeBody))
+	g.handle(mux, "GET /v1/responses/{id}", g.server(g.resume, g.decodeResume, g.encodeGeneration))
+	g.handle(mux, "/s/{service}/{path...}", g.work(g.server(g.call, g.decodeCall, encodeCall)))
+	g.handle(mux, "GET /v1/entries", g.server(g.entries, decodeCaller, kithttp.EncodeJSONResponse))
+	g.handle(mux, "GET /v1/status", g.server(g.status, decodeCaller, kithttp.EncodeJSONResponse))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { plain(w, http.StatusOK, "ok\n") })
+	mux.HandleFunc("GET /readyz", g.readyz)
+	mux.Handle("GET /metrics", opts.Metrics)
+	mux.HandleFunc("/", g.unmatched)
+	return mux
+}
+
+func (g *gateway) handle(mux *http.ServeMux, pattern string, handler http.Handler) {
+	mux.Handle(pattern, handler)
+}
+
+// server builds a go-kit server whose errors become coded refusals.
+func (g *gateway) server(endpoint func(context.Context, any) (any, error), decode kithttp.DecodeRequestFunc,
+	encode kithttp.EncodeResponseFunc) http.Handler {
+	return kithttp.NewServer(g.observe(endpoint), decode, encode, kithttp.ServerErrorEncoder(g.refuse))
+}
+
+// observe records how long an endpoint took until it accepted or refused.
+func (g *gateway) observe(next func(context.Context, any) (any, error)) func(context.Context, any) (any, error) {
+	return func(ctx context.Context, request any) (any, error) {
+		begin := time.Now()
+		response, err := next(ctx, request)
+		g.Metrics.Observe("accept", time.Since(begin))
+		return response, err
+	}
+}
+
+// work sends callers of a leaving node to a live one before anything of the request is read.
+func (g *gateway) work(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !g.Node.Leaving() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		entries := g.Node.Entries(host(r.RemoteAddr))
+		if len(entries) == 0 {
+			g.refuse(r.Context(), code.New(code.NodeLeaving, "the entry node is leaving").After(time.Second), w)
+			return
+		}
+		g.Metrics.Refusal(code.NodeLeaving)
+		w.Header().Set("Location", "http://"+entries[0].Addr+r.URL.RequestURI())
+		w.Header().Set(HeaderCode, strconv.Itoa(int(code.NodeLeaving)))
+		w.WriteHeader(http.StatusTemporaryRedirect)
+	})
+}
+
+func (g *gateway) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !g.Node.Ready() {
+		plain(w, http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
+	plain(w, http.StatusOK, "ready\n")
+}
+
+func (g *gateway) unmatched(w http.ResponseWriter, r *http.Request) {
+	g.refuse(r.Context(), code.New(code.NotFound, "the path does not exist or does not take this method"), w)
+}
+
+func plain(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text))
+}
+
+func host(addr string) string {
+	name, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr
+	}
+	return name
+}
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/pollenlug/pollenlug/pkg/code"
+)
+
+type refusalBody struct {
+	Error refusal `json:"error"`
+}
+
+type refusal struct {
+	Code         code.Code `json:"code"`
+	Name         string    `json:"name"`
+	Message      string    `json:"message"`
+	Ran          code.Ran  `json:"ran"`
+	RetryAfterMs int64     `json:"retry_after_ms"`
+}
+
+// newRefusal returns what a caller sees of an error; causes stay in the log.
+func newRefusal(e *code.Error) refusalBody {
+	return refusalBody{refusal{
+		Code:         e.Code,
+		Name:         e.Code.String(),
+		Message:      e.Message,
+		Ran:          e.Ran,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}}
+}
+
+// refuse answers with the error's code. It is the error encoder of all endpoints.
+func (g *gateway) refuse(ctx context.Context, err error, w http.ResponseWriter) {
+	e := code.From(err)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		e = code.Wrap(code.CallerGone, e.Ran, "the caller closed the connection", err)
+	}
+	g.Metrics.Refusal(e.Code)
+	if e.Code == code.Internal {
+		g.Log.WithError(err).Error("request failed with an internal error")
+	}
+	body, _ := json.Marshal(newRefusal(e))
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderCode, strconv.Itoa(int(e.Code)))
+	if e.RetryAfter > 0 {
+		seconds := (e.RetryAfter.Milliseconds() + 999) / 1000
+		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(e.Code.Info().Status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/openai/request.go
@@ -0,0 +1,164 @@
+// Package openai reads requests and writes answers in the OpenAI-compatible forms of chat completions, completions
+// and the list of models. Unknown request fields are ignored, since clients send many that engines do not need.
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Paths of the two generation calls.
+const (
+	ChatPath       = "/v1/chat/completions"
+	CompletionPath = "/v1/completions"
+)
+
+// DefaultMaxTokens is the answer length of a request that does not state one.
+const DefaultMaxTokens = 512
+
+// Request is one generation request.
+type Request struct {
+	Chat      bool
+	Model     string // as the caller named it, with the adapter
+	Prompt    string
+	MaxTokens uint32
+	Stream    bool
+	Seed      uint64
+}
+
+type wireRequest struct {
+	Model               string          `json:"model"`
+	Messages            []wireMessage   `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           *uint32         `json:"max_tokens"`
+	MaxCompletionTokens *uint32         `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	Seed                *uint64         `json:"seed"`
+	N                   *int            `json:"n"`
+}
+
+type wireMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type wirePart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// ParseRequest reads the body of a call to path. Its errors are fit for callers.
+func ParseRequest(path string, body []byte) (Request, error) {
+	var wire wireRequest
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(&wire); err != nil {
+		return Request{}, describe(err)
+	}
+	if decoder.More() {
+		return Request{}, errors.New("the body has data after the JSON object")
+	}
+	if wire.Model == "" {
+		return Request{}, errors.New("model is missing")
+	}
+	if wire.N != nil && *wire.N != 1 {
+		return Request{}, errors.New("n must be 1")
+	}
+	out := Request{Chat: path == ChatPath, Model: wire.Model, Stream: wire.Stream}
+	var err error
+	if out.MaxTokens, err = wire.maxTokens(); err != nil {
+		return Request{}, err
+	}
+	if wire.Seed != nil {
+		out.Seed = *wire.Seed
+	}
+	if out.Chat {
+		out.Prompt, err = chatPrompt(wire.Messages)
+	} else {
+		out.Prompt, err = completionPrompt(wire.Prompt)
+	}
+	return out, err
+}
+
+func (w *wireRequest) maxTokens() (uint32, error) {
+	limit := w.MaxCompletionTokens
+	if limit == nil {
+		limit = w.MaxTokens
+	}
+	if limit == nil {
+		return DefaultMaxTokens, nil
+	}
+	if *limit == 0 {
+		return 0, errors.New("max_tokens must be at least 1")
+	}
+	return *limit, nil
+}
+
+// describe turns a decoding error into a text that names the place but no Go type.
+func describe(err error) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return fmt.Errorf("invalid JSON at byte %d", syntax.Offset)
+	case errors.As(err, &kind) && kind.Field != "":
+		return fmt.Errorf("field %q has the wrong type", kind.Field)
+	default:
+		return errors.New("the body is not a JSON object")
+	}
+}
+
+// chatPrompt joins the messages; a line break and the role separate them, so that equal openings of two chats
+// give equal prompt prefixes.
+func chatPrompt(messages []wireMessage) (string, error) {
+	if len(messages) == 0 {
+		return "", errors.New("messages is missing or empty")
+	}
+	var prompt strings.Builder
+	for i, message := range messages {
+		if message.Role == "" {
+			return "", fmt.Errorf("messages[%d].role is missing", i)
+		}
+		text, err := contentText(message.Content)
+		if err != nil {
+			return "", fmt.Errorf("messages[%d].content %w", i, err)
+		}
+		prompt.WriteString(message.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(text)
+		prompt.WriteByte('\n')
+	}
+	return prompt.String(), nil
+}
+
+// contentText reads a content field: a string, or a list of parts of which the text parts count.
+func contentText(raw json.RawMessage) (string, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return "", nil
+	}
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var parts []wirePart
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", errors.New("must be a string or a list of parts")
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Type == "text" {
+			joined.WriteString(part.Text)
+		}
+	}
+	return joined.String(), nil
+}
+
+func completionPrompt(raw json.RawMessage) (string, error) {
+	var text string
+	if len(raw) == 0 || json.Unmarshal(raw, &text) != nil {
+		return "", errors.New("prompt must be a string")
+	}
+	return text, nil
+}
