--- /dev/null
+++ b/pkg/route/route.go
@@ -0,0 +1,191 @@
+// Package route chooses the backend server for a request.
+//
+// A Router holds an immutable snapshot of all servers, which SetServers replaces, and one mutable record per server
+// that survives such replacements: the last load report, what this node has sent since that report, and what finished
+// requests taught about the server's speed. Pick takes no lock except those of single shards of the prefix index and
+// allocates nothing.
+//
+// The default policy scores each candidate by three terms: expected latency against the latency target, price, and
+// tokens that would be computed again. Up to a share of the target the latency term is nearly flat, so that price and
+// cache decide and cheap servers fill first; above it the term rises steeply. A prefix that many requests share is
+// therefore copied to a second server as soon as the first one would miss the target.
+//
+// Load reports lag, and all nodes see the same report. Taking the best of all servers would send every node to the
+// same server until the next report. The router therefore scores a random sample besides the servers that hold the
+// prefix; see docs/measurements-decisions.md for the comparison with a full scan.
+package route
+
+import (
+	"time"
+
+	"github.com/pollenlug/pollenlug/pkg/backend"
+)
+
+// Policy selects how Pick ranks servers.
+type Policy string
+
+// The policies. CostAware is the default; the others exist for comparison.
+const (
+	CostAware   Policy = "cost-aware"
+	RoundRobin  Policy = "round-robin"
+	LeastLoaded Policy = "least-loaded"
+	PrefixOnly  Policy = "prefix-only"
+)
+
+// Server describes one backend server.
+type Server struct {
+	ID, Addr, Group, Region, FailureDomain string
+	// Models and Adapters are resident: a request for them needs no weights to be loaded.
+	Models, Adapters   []string
+	PricePerHourMicros uint64
+	Reclaimable        bool
+	// Leaving servers get no new work. Suspect servers get work only when no other server is left.
+	Leaving, Suspect bool
+	Load             backend.Load
+	// LoadAt is the time at which the server made the report, on this node's clock. Zero means no report.
+	LoadAt time.Time
+	// Concurrency is the number of requests the server runs before it queues; 0 means unknown.
+	Concurrency uint32
+}
+
+// Options configures a Router. Zero values give the defaults.
+type Options struct {
+	Policy Policy
+	// RecomputeWeight weighs recomputed tokens against cost, 0 to 100.
+	RecomputeWeight uint32
+	// FirstTokenTarget and BetweenTokensTarget are the latency target for 95 in 100 requests.
+	FirstTokenTarget, BetweenTokensTarget time.Duration
+	// Region and FailureDomain are those of this node.
+	Region, FailureDomain string
+	// DomainDistance and RegionDistance are round trips to another failure domain and another region.
+	DomainDistance, RegionDistance time.Duration
+	// PrefillTokensPerSecond is the assumed prefill speed until results have taught better.
+	PrefillTokensPerSecond float64
+	// Sample is the number of random candidates; negative scans all servers.
+	Sample int
+	// IndexBlocks bounds the prefix index, in blocks of about 40 bytes.
+	IndexBlocks int
+	Seed        uint64
+	Now         func() time.Time
+}
+
+const (
+	defaultFirstToken    = 420 * time.Millisecond
+	defaultBetweenTokens = 37 * time.Millisecond
+	defaultDomainRTT     = 2 * time.Millisecond
+	defaultRegionRTT     = 60 * time.Millisecond
+	defaultPrefillRate   = 8000.0 // tokens/s
+	defaultSample        = 16
+	defaultIndexBlocks   = 1 << 17
+	defaultConcurrency   = 32
+	defaultStep          = 15 * time.Millisecond
+	defaultOutputTokens  = 256
+)
+
+func (o Options) withDefaults() Options {
+	if o.Policy == "" {
+		o.Policy = CostAware
+	}
+	setDuration(&o.FirstTokenTarget, defaultFirstToken)
+	setDuration(&o.BetweenTokensTarget, defaultBetweenTokens)
+	setDuration(&o.DomainDistance, defaultDomainRTT)
+	setDuration(&o.RegionDistance, defaultRegionRTT)
+	if o.PrefillTokensPerSecond <= 0 {
+		o.PrefillTokensPerSecond = defaultPrefillRate
+	}
+	if o.Sample == 0 {
+		o.Sample = defaultSample
+	}
+	if o.IndexBlocks <= 0 {
+		o.IndexBlocks = defaultIndexBlocks
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
+
+func setDuration(d *time.Duration, def time.Duration) {
+	if *d <= 0 {
+		*d = def
+	}
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Model, Adapter, Group string
+	// Blocks are the chained prefix hashes of the prompt, see backend.PrefixBlocks.
+	Blocks []uint64
+	// PromptTokens and OutputTokens are estimates; 0 output tokens means unknown.
+	PromptTokens, OutputTokens uint32
+	// Exclude lists servers that were tried already.
+	Exclude []string
+	// Isolate asks for a server that runs nothing else meanwhile, for a request with a strike.
+	Isolate  bool
+	Priority uint32
+}
+
+// Outcome classifies how a dispatched request ended.
+type Outcome uint8
+
+// The outcomes. Only Succeeded teaches the latency estimate; Refused and Failed raise it for a while.
+const (
+	Succeeded Outcome = iota
+	Refused
+	Failed
+	Cancelled
+)
+
+// Result is what a finished request teaches.
+type Result struct {
+	// FirstToken is the time from dispatch to the first token; 0 means unknown.
+	FirstToken time.Duration
+	Outcome    Outcome
+	// PromptTokens and CachedTokens come from the engine's usage report; 0 prompt tokens means unknown.
+	PromptTokens, CachedTokens uint32
+}
+
+// Pick is a chosen server. Its Done must be called once, on the same variable that Pick was stored in.
+type Pick struct {
+	// Server is shared and immutable.
+	Server *Server
+	// ExpectedFirstToken is the estimate the choice was based on.
+	ExpectedFirstToken time.Duration
+	// ExpectedCached is the number of prompt tokens that the prefix index says are cached.
+	ExpectedCached uint32
+	// Alone is set for an isolated request when the server ran nothing else as far as is known.
+	Alone bool
+
+	router   *Router
+	state    *state
+	uncached int64
+	hinted   uint32
+	started  bool
+	isolated bool
+}
+
+// Started tells that the first token has arrived, so that the request's prefill no longer counts as waiting. The
+// call is optional.
+func (p *Pick) Started() {
+	if p.state == nil || p.started {
+		return
+	}
+	p.started = true
+	p.state.add(p.router.nowMillis(), 0, -p.uncached)
+}
+
+// Done returns the request's share of the in-flight counters and teaches the estimates. Further calls do nothing.
+func (p *Pick) Done(result Result) {
+	if p.state == nil {
+		return
+	}
+	p.Started()
+	st := p.state
+	p.state = nil
+	st.add(p.router.nowMillis(), -1, 0)
+	st.inflight.Add(-1)
+	if p.isolated {
+		st.isolated.Store(0)
+	}
+	st.learn(p, result)
+}
--- /dev/null
+++ b/pkg/route/score.go
@@ -0,0 +1,310 @@
+package route
+
+// Weights of the score. The latency terms are in units of the target. They were tuned with the simulation of
+// sim_test.go.
+const (
+	// headroom is the share of the target above which the latency term rises steeply. Estimates are means, and the
+	// target is a 95th percentile.
+	headroom     = 0.5
+	flatSlope    = 0.1
+	steepSlope   = 8.0
+	costWeight   = 0.6
+	occupiedCost = 0.6 // price term of a server that runs something already, so that idle servers stay idle
+	// recomputeUnit is the number of tokens whose repeated prefill weighs as much as the whole price term.
+	recomputeUnit = 2048.0
+	minRecompute  = 0.5
+	// baseLoss is the assumed probability that a reclaimable server is lost during a request in calm times.
+	baseLoss = 0.01
+	// suspectHint discounts hints made before a gap in the cache events.
+	suspectHint = 0.5
+	// adapterLoad is the time to load an adapter that is not resident, in seconds.
+	adapterLoad = 0.25
+	// priorityCost divides the price term per priority class above the lowest.
+	priorityCost = 2.0
+
+	maxHints = 16
+)
+
+// prefixHint is a candidate from the prefix index.
+type prefixHint struct {
+	position int32
+	depth    int32 // blocks
+	suspect  bool
+}
+
+// chooser holds one choice. It lives on the stack of Pick.
+type chooser struct {
+	router         *Router
+	snap           *snapshot
+	req            *Request
+	targets        *targets
+	members        []int32
+	model, adapter bitset
+	hints          [maxHints]prefixHint
+	hinted         int
+	strictness     int
+}
+
+// Each stage of relaxed admits servers that the stage before left out.
+const (
+	healthyResident = iota
+	suspectResident
+	anyResident
+	stages
+)
+
+func (c *chooser) choose() int32 {
+	if len(c.members) == 0 {
+		return -1
+	}
+	c.findPrefix()
+	for c.strictness = healthyResident; c.strictness < stages; c.strictness++ {
+		if best := c.chooseStage(); best >= 0 {
+			return best
+		}
+	}
+	return -1
+}
+
+func (c *chooser) chooseStage() int32 {
+	if c.req.Isolate {
+		return c.scan(c.lossScore)
+	}
+	switch c.router.opts.Policy {
+	case RoundRobin:
+		return c.roundRobin()
+	case LeastLoaded:
+		return c.scan(c.loadScore)
+	case PrefixOnly:
+		return c.scan(c.prefixScore)
+	}
+	if c.router.opts.Sample < 0 || len(c.members) <= c.router.opts.Sample {
+		return c.scan(c.score)
+	}
+	if best := c.sample(); best >= 0 {
+		return best
+	}
+	return c.scan(c.score)
+}
+
+// eligible tells whether a server may take the request at the current stage.
+func (c *chooser) eligible(i int32) bool {
+	e := &c.snap.entries[i]
+	if e.unavailable || e.state.isolated.Load() != 0 {
+		return false
+	}
+	if e.suspect && c.strictness < suspectResident {
+		return false
+	}
+	if c.req.Model != "" && c.strictness < anyResident && !c.model.has(i) {
+		return false
+	}
+	for _, id := range c.req.Exclude {
+		if id == c.snap.servers[i].ID {
+			return false
+		}
+	}
+	return true
+}
+
+// scan returns the eligible server with the lowest score; it starts at a random one, so that ties spread.
+func (c *chooser) scan(score func(int32) float64) int32 {
+	best, lowest := int32(-1), 0.0
+	n := len(c.members)
+	start := int(c.router.random() % uint64(n))
+	for k := range n {
+		at := start + k
+		if at >= n {
+			at -= n
+		}
+		i := c.members[at]
+		if !c.eligible(i) {
+			continue
+		}
+		if v := score(i); best < 0 || v < lowest {
+			best, lowest = i, v
+		}
+	}
+	return best
+}
+
+// sample scores the servers that hold the prefix and a few random ones.
+func (c *chooser) sample() int32 {
+	best, lowest := int32(-1), 0.0
+	n := uint64(len(c.members))
+	for k := range c.hinted + c.router.opts.Sample {
+		var i int32
+		if k < c.hinted {
+			i = c.hints[k].position
+		} else {
+			i = c.members[c.router.random()%n]
+		}
+		if !c.eligible(i) {
+			continue
+		}
+		if v := c.score(i); best < 0 || v < lowest {
+			best, lowest = i, v
+		}
+	}
+	return best
+}
+
+func (c *chooser) roundRobin() int32 {
+	n := uint64(len(c.members))
+	start := c.router.turn.Add(1)
+	for k := range n {
+		if i := c.members[(start+k)%n]; c.eligible(i) {
+			return i
+		}
+	}
+	return -1
+}
+
+// queue returns the requests on a server: as reported, corrected by what this node sent since.
+func (e *entry) queue() float64 {
+	return float64(max(0, e.state.queued.Load()+e.state.extra.Load()))
+}
+
+func (c *chooser) loadScore(i int32) float64 {
+	e := &c.snap.entries[i]
+	return e.queue() / e.concurrency
+}
+
+func (c *chooser) prefixScore(i int32) float64 {
+	return c.loadScore(i)/1e6 - c.cachedTokens(i)
+}
+
+// lossScore ranks servers for an isolated request: the fewest others, then the lowest price.
+func (c *chooser) lossScore(i int32) float64 {
+	e := &c.snap.entries[i]
+	return e.queue() + float64(e.state.inflight.Load()) + e.price/2
+}
+
+// firstToken returns the expected time to the first token, in seconds.
+func (c *chooser) firstToken(e *entry, cached float64) float64 {
+	st := e.state
+	step := loadFloat(&st.step)
+	queue := e.queue()
+	wait := 0.0
+	if queue >= e.concurrency {
+		output := float64(c.req.OutputTokens)
+		if output == 0 {
+			output = defaultOutputTokens
+		}
+		wait = (queue - e.concurrency + 1) / e.concurrency * output * step
+	}
+	waiting := float64(max(0, st.prefill.Load()+st.extraPrefill.Load()))
+	prefill := (waiting + float64(c.req.PromptTokens) - cached) / c.router.opts.PrefillTokensPerSecond
+	return e.distance + loadFloat(&st.bias)*(wait+prefill+step)
+}
+
+// betweenTokens returns the expected decode step with this request in the batch, in seconds.
+func (e *entry) betweenTokens() float64 {
+	st := e.state
+	added := float64(st.extra.Load() + 1)
+	return max(0, loadFloat(&st.step)+added*loadFloat(&st.growth))
+}
+
+func overTarget(share float64) float64 {
+	return flatSlope*share + steepSlope*max(0, share-headroom)
+}
+
+func (c *chooser) score(i int32) float64 {
+	e := &c.snap.entries[i]
+	cached := c.cachedTokens(i)
+	first := c.firstToken(e, cached)
+	if c.req.Adapter != "" && !c.adapter.has(i) {
+		first += adapterLoad
+	}
+	latency := overTarget(first/c.targets.firstToken) + overTarget(e.betweenTokens()/c.targets.betweenTokens)
+	price := e.price
+	if e.queue() > 0 {
+		price *= occupiedCost
+	}
+	for range min(c.req.Priority, 3) {
+		price /= priorityCost
+	}
+	prompt := float64(c.req.PromptTokens)
+	again := (prompt - cached) / recomputeUnit
+	again += e.loss * (prompt + float64(c.req.OutputTokens)) / recomputeUnit
+	return latency + costWeight*price + (minRecompute+c.targets.recompute)*again
+}
+
+// findPrefix collects the servers that hold the longest prefixes, by binary search over the ladder of depths.
+func (c *chooser) findPrefix() {
+	c.hinted = 0
+	low, high := 0, rungs(len(c.req.Blocks))-1
+	for low <= high {
+		middle := (low + high) / 2
+		depth := rungDepth(middle)
+		hints, ok := c.router.index.lookup(c.req.Blocks[depth-1])
+		if ok {
+			ok = c.addHints(&hints, int32(depth))
+		}
+		if ok {
+			low = middle + 1
+		} else {
+			high = middle - 1
+		}
+	}
+}
+
+// addHints reports whether any hint names a server that is known and has not restarted since.
+func (c *chooser) addHints(hints *[serversPerKey]hint, depth int32) bool {
+	found := false
+	for _, h := range hints {
+		number := h.server & numberMask
+		if h.tick == 0 || int(number) >= len(c.snap.position) || c.snap.position[number] < 0 {
+			continue
+		}
+		position := c.snap.position[number]
+		st := c.snap.entries[position].state
+		if hintName(st) != h.server {
+			continue
+		}
+		found = true
+		c.addHint(prefixHint{position: position, depth: depth, suspect: h.tick <= st.suspectBefore.Load()})
+	}
+	return found
+}
+
+func (c *chooser) addHint(h prefixHint) {
+	for k := range c.hinted {
+		if c.hints[k].position == h.position {
+			if h.depth > c.hints[k].depth {
+				c.hints[k] = h
+			}
+			return
+		}
+	}
+	if c.hinted < maxHints {
+		c.hints[c.hinted] = h
+		c.hinted++
+	}
+}
+
+// hintedTokens returns the prompt tokens that the index says are cached on a server.
+func (c *chooser) hintedTokens(i int32) float64 {
+	for k := range c.hinted {
+		h := &c.hints[k]
+		if h.position != i {
+			continue
+		}
+		// The text after the last whole block is half a block on average.
+		tokens := float64(c.req.PromptTokens) * 2 * float64(h.depth) / float64(2*len(c.req.Blocks)+1)
+		if h.suspect {
+			tokens *= suspectHint
+		}
+		return tokens
+	}
+	return 0
+}
+
+// cachedTokens is hintedTokens, discounted by how often the server's hints were right.
+func (c *chooser) cachedTokens(i int32) float64 {
+	tokens := c.hintedTokens(i)
+	if tokens == 0 {
+		return 0
+	}
+	return tokens * loadFloat(&c.snap.entries[i].state.trust)
+}
