--- /dev/null
+++ b/internal/standin/table/table.go
@@ -0,0 +1,376 @@
+// Package table is an in-memory stand-in of the transactional table service, with fault injection by seed.
+//
+// Time comes from package time only, so that the stand-in runs in virtual time inside testing/synctest. Each
+// random choice is a hash of the seed, the client, the key and the number of earlier calls of this client on
+// this key. A choice therefore does not depend on how goroutines of other keys are scheduled, and a failing
+// schedule replays from its seed.
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pollenlug/pollenlug/pkg/platform"
+)
+
+// historyKept is how long old row versions are kept for stale reads.
+const historyKept = time.Minute
+
+// Outage says how calls fail while the service is down.
+type Outage int
+
+// Kinds of outages.
+const (
+	NoOutage Outage = iota
+	// Refusing answers ErrUnavailable at once.
+	Refusing
+	// Hanging answers only when the context ends; no write takes effect.
+	Hanging
+)
+
+// Faults are the faults in force. Percentages count calls that no other fault has hit.
+type Faults struct {
+	Outage Outage
+	// MinLatency and MaxLatency bound the time of one call. The effect of a write comes halfway.
+	MinLatency, MaxLatency time.Duration
+	// LostPercent of writes take effect, but the caller gets ErrOutcomeUnknown.
+	LostPercent int
+	// LostHangs makes a lost answer end with the caller's context instead of at once.
+	LostHangs bool
+	// LatePercent of writes answer ErrOutcomeUnknown and take effect up to MaxLate later, if their conditions
+	// hold then.
+	LatePercent int
+	MaxLate     time.Duration
+	// StalePercent of reads return the state of up to MaxStale ago (at most a minute).
+	StalePercent int
+	MaxStale     time.Duration
+}
+
+// Options configure a Table.
+type Options struct {
+	Seed uint64
+}
+
+// Counts are numbers of calls since New. Refused calls count, too.
+type Counts struct {
+	Reads   uint64 // Get and List
+	Commits uint64
+	// RowWrites counts rows written or deleted.
+	RowWrites uint64
+}
+
+type rowID struct{ table, key string }
+
+type version struct {
+	at     time.Time
+	row    platform.Row
+	exists bool
+}
+
+// Table implements platform.Table. Use Client for callers with their own faults.
+type Table struct {
+	*Client
+	seed    uint64
+	reads   atomic.Uint64
+	commits atomic.Uint64
+	writes  atomic.Uint64
+
+	mu   sync.Mutex
+	next uint64
+	rows map[rowID][]version // ascending by time; the last one is current
+}
+
+// Client is the table as one caller sees it.
+type Client struct {
+	t    *Table
+	name string
+
+	mu     sync.Mutex
+	faults Faults
+	calls  map[string]uint64
+}
+
+var (
+	_ platform.Table = (*Table)(nil)
+	_ platform.Table = (*Client)(nil)
+)
+
+// New returns an empty table without faults.
+func New(o Options) *Table {
+	t := &Table{seed: o.Seed, rows: map[rowID][]version{}}
+	t.Client = t.NewClient("")
+	return t
+}
+
+// NewClient returns a view with its own faults and random choices.
+func (t *Table) NewClient(name string) *Client {
+	return &Client{t: t, name: name, calls: map[string]uint64{}}
+}
+
+// Counts returns the numbers of calls so far.
+func (t *Table) Counts() Counts {
+	return Counts{Reads: t.reads.Load(), Commits: t.commits.Load(), RowWrites: t.writes.Load()}
+}
+
+// SetFaults replaces the faults of this client; calls that have begun keep the old ones.
+func (c *Client) SetFaults(f Faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = f
+}
+
+// draw is the sequence of random numbers of one call.
+type draw struct {
+	prefix string
+	n      int
+}
+
+func (d *draw) next() uint64 {
+	d.n++
+	return xxhash.Sum64String(fmt.Sprintf("%s/%d", d.prefix, d.n))
+}
+
+func (d *draw) percent(p int) bool { return d.next()%100 < uint64(max(p, 0)) }
+
+func (d *draw) between(low, high time.Duration) time.Duration {
+	if high <= low {
+		return low
+	}
+	return low + time.Duration(d.next()%uint64(high-low+1))
+}
+
+func (c *Client) begin(op, key string) (Faults, *draw) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id := op + "/" + key
+	c.calls[id]++
+	return c.faults, &draw{prefix: fmt.Sprintf("%d/%s/%s/%d", c.t.seed, c.name, id, c.calls[id])}
+}
+
+// sleep returns false when the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// read applies the faults of a read and returns the time whose state it shows.
+func (c *Client) read(ctx context.Context, op, key string) (time.Time, error) {
+	c.t.reads.Add(1)
+	f, d := c.begin(op, key)
+	switch f.Outage {
+	case Refusing:
+		return time.Time{}, platform.ErrUnavailable
+	case Hanging:
+		<-ctx.Done()
+		return time.Time{}, fmt.Errorf("table: read: %w", ctx.Err())
+	}
+	if !sleep(ctx, d.between(f.MinLatency, f.MaxLatency)) {
+		return time.Time{}, fmt.Errorf("table: read: %w", ctx.Err())
+	}
+	at := time.Now()
+	if d.percent(f.StalePercent) {
+		at = at.Add(-d.between(0, min(f.MaxStale, historyKept)))
+	}
+	return at, nil
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	at, err := c.read(ctx, "get", table+"/"+key)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	c.t.mu.Lock()
+	defer c.t.mu.Unlock()
+	v := asOf(c.t.rows[rowID{table, key}], at)
+	if !v.exists {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return copyRow(v.row), nil
+}
+
+// List implements platform.Table.
+func (c *Client) List(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+	at, err := c.read(ctx, "list", table+"/"+prefix)
+	if err != nil {
+		return nil, err
+	}
+	c.t.mu.Lock()
+	defer c.t.mu.Unlock()
+	var out []platform.Row
+	for id, history := range c.t.rows {
+		if id.table != table || !strings.HasPrefix(id.key, prefix) || id.key <= after {
+			continue
+		}
+		if v := asOf(history, at); v.exists {
+			out = append(out, copyRow(v.row))
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out[:min(len(out), max(limit, 0))], nil
+}
+
+// Commit implements platform.Table. A transaction that names a row twice is refused.
+func (c *Client) Commit(ctx context.Context, mutations []platform.Mutation) ([]uint64, error) {
+	if err := checkDistinct(mutations); err != nil {
+		return nil, err
+	}
+	c.t.commits.Add(1)
+	key := ""
+	if len(mutations) > 0 {
+		key = mutations[0].Table + "/" + mutations[0].Key
+	}
+	f, d := c.begin("commit", key)
+	switch f.Outage {
+	case Refusing:
+		return nil, platform.ErrUnavailable
+	case Hanging:
+		<-ctx.Done()
+		return nil, platform.ErrOutcomeUnknown
+	}
+	return c.commit(ctx, f, d, copyMutations(mutations))
+}
+
+func (c *Client) commit(ctx context.Context, f Faults, d *draw, mutations []platform.Mutation) ([]uint64, error) {
+	half := d.between(f.MinLatency, f.MaxLatency) / 2
+	started := time.Now()
+	arrives := d.percent(50)
+	if !sleep(ctx, half) {
+		// The request was on its way when the caller stopped waiting; half of these still take effect.
+		if arrives {
+			time.AfterFunc(half-time.Since(started), func() { _, _ = c.t.apply(mutations) })
+		}
+		return nil, platform.ErrOutcomeUnknown
+	}
+	if d.percent(f.LatePercent) {
+		time.AfterFunc(d.between(1, f.MaxLate), func() { _, _ = c.t.apply(mutations) })
+		return nil, platform.ErrOutcomeUnknown
+	}
+	versions, err := c.t.apply(mutations)
+	if d.percent(f.LostPercent) {
+		if f.LostHangs {
+			<-ctx.Done()
+		}
+		return nil, platform.ErrOutcomeUnknown
+	}
+	if !sleep(ctx, half) {
+		return nil, platform.ErrOutcomeUnknown
+	}
+	return versions, err
+}
+
+// apply evaluates the conditions and writes all rows or none.
+func (t *Table) apply(mutations []platform.Mutation) ([]uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var failed []int
+	for i, m := range mutations {
+		if !holds(m.If, current(t.rows[rowID{m.Table, m.Key}])) {
+			failed = append(failed, i)
+		}
+	}
+	if len(failed) > 0 {
+		return nil, &platform.ConflictError{Failed: failed}
+	}
+	versions := make([]uint64, len(mutations))
+	for i, m := range mutations {
+		versions[i] = t.applyOne(now, m)
+	}
+	return versions, nil
+}
+
+func (t *Table) applyOne(now time.Time, m platform.Mutation) uint64 {
+	id := rowID{m.Table, m.Key}
+	history := t.rows[id]
+	if m.CheckOnly {
+		return current(history).row.Version
+	}
+	t.writes.Add(1)
+	t.next++
+	v := version{at: now, exists: !m.Delete}
+	if v.exists {
+		v.row = platform.Row{Key: m.Key, Value: m.Value, Version: t.next}
+	}
+	t.rows[id] = append(prune(history, now), v)
+	return v.row.Version
+}
+
+// prune drops versions that no stale read can show any more. One older version stays as the state at the cut.
+func prune(history []version, now time.Time) []version {
+	cut := now.Add(-historyKept)
+	for len(history) > 1 && history[1].at.Before(cut) {
+		history = history[1:]
+	}
+	return history
+}
+
+func holds(cond platform.Condition, v version) bool {
+	switch cond.Kind {
+	case platform.Always:
+		return true
+	case platform.Absent:
+		return !v.exists
+	case platform.VersionIs:
+		return v.exists && v.row.Version == cond.Version
+	}
+	return false
+}
+
+func current(history []version) version {
+	if len(history) == 0 {
+		return version{}
+	}
+	return history[len(history)-1]
+}
+
+func asOf(history []version, at time.Time) version {
+	for i := len(history) - 1; i >= 0; i-- {
+		if !history[i].at.After(at) {
+			return history[i]
+		}
+	}
+	return version{}
+}
+
+func copyRow(r platform.Row) platform.Row {
+	r.Value = append([]byte(nil), r.Value...)
+	return r
+}
+
+func copyMutations(in []platform.Mutation) []platform.Mutation {
+	out := append([]platform.Mutation(nil), in...)
+	for i := range out {
+		out[i].Value = append([]byte(nil), out[i].Value...)
+	}
+	return out
+}
+
+func checkDistinct(mutations []platform.Mutation) error {
+	seen := make(map[rowID]bool, len(mutations))
+	for _, m := range mutations {
+		id := rowID{m.Table, m.Key}
+		if seen[id] {
+			return errors.New("table: a transaction names a row twice")
+		}
+		seen[id] = true
+	}
+	return nil
+}
