--- /dev/null
+++ b/pkg/config/config_test.go
@@ -0,0 +1,187 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+)
+
+const councilDigest = "a5eb7a1b9f5b4d9f7c1a4d1a2f3d8e7c6b5a49382716051423324150617f8e9d"
+
+// base is a valid folder that tests change by further files.
+const base = `{
+  "models": [{"name": "quote-small", "adapters": ["harbour"], "backend_group": "engines", "context_tokens": 4096}],
+  "workspaces": [{"name": "council", "token_sha256": ["` + councilDigest + `"]}],
+  "services": [{"name": "booking", "backend_group": "desk", "routes": [
+    {"method": "POST", "path_prefix": "/bookings", "non_repeatable": true},
+    {"path_prefix": "/bookings"},
+    {"method": "POST", "path_prefix": "/bookings/dry-run"},
+    {"method": "GET", "path_prefix": "/", "idempotent": true}]}],
+  "backend_groups": [{"name": "engines", "kind": "MODEL_ENGINE"}, {"name": "desk", "kind": "PLAIN_SERVICE"}],
+  "policy": {"first_token_ms": 100, "progress_before_delivery": true, "recompute_weight": 20}
+}`
+
+func merge(t *testing.T, texts ...string) *pb.FolderFile {
+	t.Helper()
+	files := map[string][]byte{}
+	for i, text := range texts {
+		files[fmt.Sprintf("%02d.json", i)] = []byte(text)
+	}
+	merged, faults := Merge(files)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	return merged
+}
+
+// sections splits a test file into the files after lines of the form "-- NAME --".
+func sections(data []byte) map[string][]byte {
+	files := map[string][]byte{}
+	name := ""
+	for line := range strings.Lines(string(data)) {
+		if text, ok := strings.CutPrefix(line, "-- "); ok {
+			name = strings.TrimSuffix(text, " --\n")
+			files[name] = []byte{}
+			continue
+		}
+		files[name] = append(files[name], line...)
+	}
+	return files
+}
+
+// Guards against faults that are missed or that do not name file, field and reason.
+func TestFaults(t *testing.T) {
+	cases, err := filepath.Glob("testdata/faults/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(cases) > 0)
+	for _, path := range cases {
+		name := strings.TrimSuffix(filepath.Base(path), ".txt")
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			merged, faults := Merge(sections(data))
+			assert.Assert(t, merged == nil)
+			var out strings.Builder
+			for _, fault := range faults {
+				fmt.Fprintln(&out, fault)
+			}
+			golden.Assert(t, out.String(), "faults/"+name+".golden")
+		})
+	}
+}
+
+// Guards against an override that keeps fields of the earlier item, and against a later file that cannot set a
+// policy field back to zero or false.
+func TestOverrideDeleteAndPolicy(t *testing.T) {
+	merged := merge(t, base, `{
+	  "models": [{"name": "quote-small", "override": true, "backend_group": "engines", "context_tokens": 10}],
+	  "policy": {"progress_before_delivery": false, "recompute_weight": 0, "retry_percent": null}
+	}`, `{"delete": ["services/booking"], "services": [{"name": "booking", "backend_group": "desk"}]}`)
+	want := &pb.Model{Name: "quote-small", BackendGroup: "engines", ContextTokens: 10}
+	assert.Assert(t, proto.Equal(merged.Models[0], want))
+	assert.Equal(t, len(merged.Services[0].Routes), 0)
+	policy := NewIndex(&pb.Snapshot{Merged: merged}).Policy()
+	assert.Equal(t, policy.ProgressFirst, false)
+	assert.Equal(t, policy.RecomputeWeight, uint32(0))
+	assert.Equal(t, policy.RetryPercent, uint32(DefaultRetryPercent))
+	assert.Equal(t, policy.FirstToken, 100*time.Millisecond)
+}
+
+// Guards against calls that avoid a non-repeatable route by an unclean path or a shorter prefix.
+func TestIndex(t *testing.T) {
+	x := NewIndex(&pb.Snapshot{Merged: merge(t, base)})
+	service, ok := x.Service("booking")
+	assert.Assert(t, ok)
+	for _, c := range []struct {
+		method, path              string
+		nonRepeatable, idempotent bool
+	}{
+		{"POST", "/bookings", true, false},
+		{"POST", "/bookings/7", true, false},
+		{"POST", "//x/../bookings", true, false},
+		{"POST", "bookings/", true, false},
+		{"PUT", "/bookings", false, false},
+		{"POST", "/bookings/dry-run", false, false},
+		{"GET", "/history", false, true},
+		{"GET", "", false, true},
+		{"POST", "/other", false, false},
+	} {
+		route := service.Route(c.method, c.path)
+		assert.Equal(t, route.NonRepeatable, c.nonRepeatable, "%s %s", c.method, c.path)
+		assert.Equal(t, route.Idempotent, c.idempotent, "%s %s", c.method, c.path)
+	}
+	assert.Equal(t, service.Timeout, DefaultServiceTimeout)
+	model, ok := x.Model("quote-small:harbour")
+	assert.Assert(t, ok)
+	assert.Equal(t, model.Adapter, "harbour")
+	assert.Equal(t, model.Group.Name, "engines")
+	_, ok = x.Model("quote-small:other")
+	assert.Assert(t, !ok)
+}
+
+// Guards against a token that is compared as text or found under another workspace.
+func TestWorkspaceByToken(t *testing.T) {
+	digest := Digest([]byte("council-token"))
+	x := NewIndex(&pb.Snapshot{Merged: merge(t, strings.ReplaceAll(base, councilDigest, digest))})
+	workspace, ok := x.Workspace("council-token")
+	assert.Assert(t, ok)
+	assert.Equal(t, workspace.Name, "council")
+	for _, token := range []string{"", digest, "council-token "} {
+		_, ok := x.Workspace(token)
+		assert.Assert(t, !ok, token)
+	}
+}
+
+// Guards against a digest that depends on the division into files or on map order, and against a snapshot that
+// was damaged on the way.
+func TestEncode(t *testing.T) {
+	split := merge(t, base, `{"delete": ["models/quote-small"]}`,
+		`{"models": [{"name": "quote-small", "adapters": ["harbour"], "backend_group": "engines", "context_tokens": 4096}]}`)
+	first, digest, err := Encode(&pb.Snapshot{Merged: merge(t, base), FolderRevision: 3})
+	assert.NilError(t, err)
+	second, digest2, err := Encode(&pb.Snapshot{Merged: split, FolderRevision: 3})
+	assert.NilError(t, err)
+	assert.Equal(t, digest, digest2)
+	assert.Assert(t, bytes.Equal(first, second))
+	snapshot, err := Decode(first, digest)
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.FolderRevision, uint64(3))
+	first[len(first)-1]++
+	_, err = Decode(first, digest)
+	assert.ErrorIs(t, err, ErrDigest)
+}
+
+// FuzzMerge guards against panics, faults without a place, and a merged result that is not itself valid.
+func FuzzMerge(f *testing.F) {
+	f.Add([]byte(base), []byte(`{"delete": ["models/quote-small"]}`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		merged, faults := Merge(map[string][]byte{"a.json": first, "b.json": second})
+		if (merged == nil) != (len(faults) > 0) {
+			t.Fatal("a merge gives either a result or faults")
+		}
+		for _, fault := range faults {
+			if fault.File == "" || fault.Field == "" || fault.Reason == "" {
+				t.Fatalf("incomplete fault %+v", fault)
+			}
+		}
+		if merged == nil {
+			return
+		}
+		text, err := Text(merged)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, faults := Merge(map[string][]byte{"a.json": text})
+		if len(faults) > 0 || !proto.Equal(merged, again) {
+			t.Fatalf("the merged text does not merge to itself: %v", faults)
+		}
+	})
+}
