--- /dev/null
+++ b/internal/generate/attempt.go
@@ -0,0 +1,270 @@
+package generate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pollenlug/pollenlug/pkg/backend"
+	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/route"
+	"github.com/pollenlug/pollenlug/pkg/stream"
+)
+
+// complete runs attempts until the response has ended or this node stops running it.
+func (r *Runner) complete(ctx context.Context, run *run) {
+	run.began = time.Now()
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		before := run.log.Len()
+		err := r.attempt(ctx, run)
+		if err == nil || errors.Is(err, stream.ErrFinished) {
+			return
+		}
+		if refusal := r.giveUp(run, err); refusal != nil {
+			r.fail(run, refusal.Code)
+			return
+		}
+		reason := reasonOf(err)
+		if ctx.Err() == nil {
+			r.Metrics.Retry(reason)
+		}
+		if reason == reasonMoved {
+			continue
+		}
+		if run.log.Len() > before {
+			backoff = firstBackoff
+		}
+		if !r.pause(ctx, reason, backoff) {
+			break
+		}
+		backoff = min(2*backoff, lastBackoff)
+	}
+	r.stopped(ctx, run)
+}
+
+// stopped records why a run ended before its response was complete.
+func (r *Runner) stopped(ctx context.Context, run *run) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errHandover):
+	case errors.Is(cause, errNoReader):
+		// The log stays without an end: a caller that resumes later starts the next attempt.
+		r.Metrics.Refusal(code.CallerGone)
+	default:
+		r.fail(run, code.DeadlineExceeded)
+	}
+}
+
+func (r *Runner) fail(run *run, c code.Code) {
+	_ = run.log.Finish(run.log.Attempt(), "", c, time.Now())
+}
+
+// giveUp returns the refusal that ends the response, or nil when another attempt is worth it.
+func (r *Runner) giveUp(run *run, err error) *code.Error {
+	var refusal *code.Error
+	if !errors.As(err, &refusal) {
+		return nil
+	}
+	if refusal.Code == code.NoBackendServer && (run.log.Len() > 0 || time.Since(run.began) < noServerPatience) {
+		return nil
+	}
+	return refusal
+}
+
+// pause waits before the next attempt: the backoff, then the retry budget. Finding no server costs no budget, since
+// nothing is sent.
+func (r *Runner) pause(ctx context.Context, reason string, backoff time.Duration) bool {
+	if reason != reasonNoServer && r.Budget.Wait(ctx) != nil {
+		return false
+	}
+	if reason == reasonInterrupted || reason == reasonSilent {
+		return true // another server takes the next attempt, so waiting would only delay the caller
+	}
+	timer := time.NewTimer(backoff)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func reasonOf(err error) string {
+	switch {
+	case errors.Is(err, errMove):
+		return reasonMoved
+	case errors.Is(err, backend.ErrRefused):
+		return reasonRefused
+	case errors.Is(err, backend.ErrUnreachable):
+		return reasonUnreachable
+	case errors.Is(err, backend.ErrSilent):
+		return reasonSilent
+	case code.From(err).Code == code.NoBackendServer:
+		return reasonNoServer
+	default:
+		return reasonInterrupted
+	}
+}
+
+// attempt sends the response's request to one server and copies its tokens into the log.
+func (r *Runner) attempt(ctx context.Context, run *run) error {
+	isolate, err := r.Strikes.Check(run.digest)
+	if err != nil {
+		return err
+	}
+	tokens := run.log.Tokens(0)
+	pick, err := r.pick(run, isolate, uint32(len(tokens)))
+	if err != nil {
+		return err
+	}
+	attemptCtx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	kv := run.start(pick.Server, stop)
+	number := run.log.Begin()
+	sent := time.Now()
+	result := route.Result{Outcome: route.Failed}
+	r.Strikes.Began(pick.Server.ID, run.digest)
+	err = r.Engine.Generate(attemptCtx, pick.Server.Addr, r.request(run, number, tokens, kv), func(chunk backend.Chunk) error {
+		if result.FirstToken == 0 {
+			result.FirstToken = time.Since(sent)
+			pick.Started()
+		}
+		return r.accept(run, number, chunk, &result)
+	})
+	r.Strikes.Ended(pick.Server.ID, run.digest)
+	if cause := context.Cause(attemptCtx); errors.Is(cause, errMove) && err != nil {
+		err = errMove
+	}
+	r.settle(run, pick, result, err, ctx)
+	return err
+}
+
+// settle returns the server to the router and remembers its failure.
+func (r *Runner) settle(run *run, pick *route.Pick, result route.Result, err error, ctx context.Context) {
+	server := pick.Server
+	switch {
+	case err == nil:
+		result.Outcome = route.Succeeded
+		run.failed = nil
+	case errors.Is(err, errMove), ctx.Err() != nil:
+		result.Outcome = route.Cancelled
+	case errors.Is(err, backend.ErrRefused):
+		result.Outcome = route.Refused
+		run.failed = append(run.failed, server.ID)
+	default:
+		run.failed = append(run.failed, server.ID)
+		r.Log.WithError(err).WithField("server", server.ID).Info("attempt failed")
+	}
+	if errors.Is(err, backend.ErrInterrupted) && ctx.Err() == nil {
+		r.Strikes.Failed(server.ID, server.FailureDomain, run.digest)
+	}
+	pick.Done(result)
+}
+
+// pick chooses the server of the next attempt: the target of a move if there is one, else the router's choice. When
+// every server has failed lately, all are allowed again.
+func (r *Runner) pick(run *run, isolate bool, resumed uint32) (*route.Pick, error) {
+	if target := run.takeTarget(); target != nil {
+		return target, nil
+	}
+	req := route.Request{
+		Model:        run.model.Name,
+		Adapter:      run.model.Adapter,
+		Group:        run.model.BackendGroup,
+		Blocks:       run.blocks,
+		PromptTokens: estimateTokens(run.req.Prompt) + resumed,
+		OutputTokens: run.req.MaxTokens,
+		Exclude:      run.failed,
+		Isolate:      isolate,
+	}
+	pick, err := r.Router.Pick(&req)
+	if err != nil && len(run.failed) > 0 {
+		run.failed, req.Exclude = nil, nil
+		pick, err = r.Router.Pick(&req)
+	}
+	if err != nil {
+		return nil, code.Wrap(code.NoBackendServer, code.RanNo, "no backend server can take the request", err).After(time.Second)
+	}
+	return &pick, nil
+}
+
+// bytesPerToken is the usual ratio for English text; the router needs the size of a prompt only roughly.
+const bytesPerToken = 5
+
+func estimateTokens(prompt string) uint32 { return uint32(len(prompt)/bytesPerToken) + 1 }
+
+func (r *Runner) request(run *run, attempt uint32, resume []string, kv string) backend.GenerateRequest {
+	meta := run.log.Meta()
+	seed := run.req.Seed
+	return backend.GenerateRequest{
+		ID:        meta.ID,
+		Attempt:   attempt,
+		Model:     run.model.Name,
+		Adapter:   run.model.Adapter,
+		Prompt:    run.req.Prompt,
+		Resume:    resume,
+		Seed:      seed,
+		MaxTokens: run.req.MaxTokens,
+		KVFrom:    kv,
+	}
+}
+
+// accept copies one chunk into the log.
+func (r *Runner) accept(run *run, attempt uint32, chunk backend.Chunk, result *route.Result) error {
+	now := time.Now()
+	if len(chunk.Tokens) > 0 {
+		if _, err := run.log.Append(attempt, chunk.Offset, chunk.Tokens, now); err != nil {
+			return err
+		}
+		run.noteToken(now)
+	}
+	if usage := chunk.Usage; usage != nil {
+		result.PromptTokens, result.CachedTokens = usage.PromptTokens, usage.CachedTokens
+		r.Metrics.Add("tokens_generated", int64(usage.GeneratedTokens))
+		r.Metrics.Add("tokens_prefilled", int64(usage.PrefilledTokens))
+		if attempt > 1 {
+			r.Metrics.Add("tokens_recomputed", int64(usage.PrefilledTokens))
+		}
+	}
+	if chunk.FinishReason != "" {
+		return run.log.Finish(attempt, chunk.FinishReason, code.OK, now)
+	}
+	r.Progress.Changed(run.log)
+	return nil
+}
+
+// start records the server of the new attempt and returns the KV handle that waits there.
+func (run *run) start(server *route.Server, stop context.CancelCauseFunc) (kv string) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.server, run.addr, run.stop = server.ID, server.Addr, stop
+	run.moving = false
+	run.firstToken = time.Time{}
+	kv, run.kv = run.kv, ""
+	return kv
+}
+
+func (run *run) takeTarget() *route.Pick {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	target := run.target
+	run.target = nil
+	return target
+}
+
+// dropTarget gives back the target of a move that the response did not live to use.
+func (run *run) dropTarget() {
+	if target := run.takeTarget(); target != nil {
+		target.Done(route.Result{Outcome: route.Cancelled})
+	}
+}
+
+func (run *run) noteToken(now time.Time) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if run.firstToken.IsZero() {
+		run.firstToken = now
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,273 @@
+// Package replica copies the logs of responses to a second node and finds responses for callers that resume.
+//
+// # Design
+//
+// The home node copies an accepted request to one replica in another failure domain before the caller sees that it
+// was accepted. After that it sends progress in one message per replica every flushInterval; an acknowledged
+// message moves the offset from which the next one starts, so a lost message is repeated and the log drops what it
+// has. When the replica fails or leaves, the home node picks another one and sends it everything.
+//
+// A response id names the home node. Any node can therefore find a response: it asks the home node, and when that is
+// gone the nodes that rendezvous hashing would choose as replica. The replica becomes the home when a caller
+// resumes and the old home is no longer live. It does not start by itself when the home dies: the caller that still
+// wants the answer asks for it, and an answer that nobody waits for is not recomputed.
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenlug/pollenlug/internal/metrics"
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/membership"
+	"github.com/pollenlug/pollenlug/pkg/stream"
+)
+
+const (
+	// flushInterval is how often progress is sent; a home node that dies loses at most this much of it.
+	flushInterval = 50 * time.Millisecond
+	// openTimeout bounds one try to open a replica. Nodes are a few milliseconds apart.
+	openTimeout = 250 * time.Millisecond
+	// openTries is how many nodes are asked to be the replica.
+	openTries = 3
+	// appendTimeout bounds one progress message.
+	appendTimeout = time.Second
+	// maxAppendFailures is how many messages in a row may fail before another replica is chosen.
+	maxAppendFailures = 2
+)
+
+// errNotAcknowledged means that the peer answered with something else than success.
+var errNotAcknowledged = errors.New("replica: not acknowledged")
+
+// Requester sends a message to a node and returns its answer.
+type Requester interface {
+	Request(ctx context.Context, addr string, env *pb.Envelope) (*pb.Envelope, error)
+}
+
+// Options are the parts of a Replicator.
+type Options struct {
+	Self membership.Member
+	// Live returns the live nodes, this one included.
+	Live func() []membership.Member
+	// Member returns what is known of a node.
+	Member    func(node string) (membership.Member, bool)
+	Transport Requester
+	Logs      *stream.Store
+	// Run starts the attempts of a log whose home has become this node.
+	Run     func(log *stream.Log) error
+	Metrics *metrics.Set
+	Log     *logrus.Entry
+}
+
+// Replicator is the replication of one node.
+type Replicator struct {
+	Options
+
+	mu      sync.Mutex
+	copies  map[string]*replicaState
+	dirty   map[string]*stream.Log
+	mirrors map[string]*mirror
+}
+
+// replicaState is the replica of one log, as its home node knows it. Only the flush loop changes it after Open.
+type replicaState struct {
+	peer     membership.Member
+	sent     uint32 // offset up to which the replica has acknowledged
+	failures int
+}
+
+// New returns a Replicator.
+func New(opts Options) *Replicator {
+	return &Replicator{
+		Options: opts,
+		copies:  map[string]*replicaState{},
+		dirty:   map[string]*stream.Log{},
+		mirrors: map[string]*mirror{},
+	}
+}
+
+// candidates returns the nodes that may hold the replica of a response of the given home: nodes of other failure
+// domains first, in rendezvous order of the id.
+func (r *Replicator) candidates(id string, home membership.Member, n int) []membership.Member {
+	var others, near []membership.Member
+	for _, member := range r.Live() {
+		switch {
+		case member.Node == home.Node || member.Status != pb.MemberState_ALIVE:
+		case member.FailureDomain != home.FailureDomain:
+			others = append(others, member)
+		default:
+			near = append(near, member)
+		}
+	}
+	out := membership.Rendezvous(id, others, n)
+	if len(out) < n {
+		out = append(out, membership.Rendezvous(id, near, n-len(out))...)
+	}
+	return out
+}
+
+// Open copies an accepted request to a replica. With no other live node the response goes on without one, since
+// refusing it would help nobody; a counter shows it.
+func (r *Replicator) Open(ctx context.Context, log *stream.Log) error {
+	id := log.Meta().ID
+	candidates := r.candidates(id, r.Self, openTries)
+	if len(candidates) == 0 {
+		r.Metrics.Add("responses_without_replica", 1)
+		return nil
+	}
+	for _, peer := range candidates {
+		if err := r.openAt(ctx, peer, log); err != nil {
+			r.Metrics.Retry("replica_open")
+			continue
+		}
+		r.mu.Lock()
+		r.copies[id] = &replicaState{peer: peer}
+		r.mu.Unlock()
+		return nil
+	}
+	return code.New(code.ReplicationUnavailable, "no second node took a copy of the request").After(time.Second)
+}
+
+func (r *Replicator) openAt(ctx context.Context, peer membership.Member, log *stream.Log) error {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	body := &pb.Envelope_StreamOpen{StreamOpen: log.Open()}
+	return r.acknowledged(r.Transport.Request(ctx, peer.NodeAddr, &pb.Envelope{Body: body}))
+}
+
+func (r *Replicator) acknowledged(answer *pb.Envelope, err error) error {
+	if err != nil {
+		return err
+	}
+	if ack := answer.GetAck(); ack == nil || ack.Code != 0 {
+		return fmt.Errorf("%w: %s", errNotAcknowledged, answer.GetAck().GetMessage())
+	}
+	return nil
+}
+
+// Changed marks a log whose progress the replica does not have yet.
+func (r *Replicator) Changed(log *stream.Log) {
+	id := log.Meta().ID
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.copies[id]; ok {
+		r.dirty[id] = log
+	}
+}
+
+// Run sends progress until ctx ends.
+func (r *Replicator) Run(ctx context.Context) {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.flush(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// batch is the progress for one replica.
+type batch struct {
+	peer   membership.Member
+	logs   []*stream.Log
+	states []*replicaState
+}
+
+// flush sends the progress of all changed logs, one message per replica.
+func (r *Replicator) flush(ctx context.Context) {
+	batches := map[string]*batch{}
+	r.mu.Lock()
+	for id, log := range r.dirty {
+		state := r.copies[id]
+		b := batches[state.peer.Node]
+		if b == nil {
+			b = &batch{peer: state.peer}
+			batches[state.peer.Node] = b
+		}
+		b.logs = append(b.logs, log)
+		b.states = append(b.states, state)
+	}
+	clear(r.dirty)
+	r.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, b := range batches {
+		wg.Go(func() { r.sendBatch(ctx, b) })
+	}
+	wg.Wait()
+}
+
+func (r *Replicator) sendBatch(ctx context.Context, b *batch) {
+	message := &pb.StreamAppend{Progress: make([]*pb.StreamProgress, len(b.logs))}
+	for i, log := range b.logs {
+		message.Progress[i] = log.Progress(b.states[i].sent)
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	env := &pb.Envelope{Body: &pb.Envelope_StreamAppend{StreamAppend: message}}
+	err := r.acknowledged(r.Transport.Request(ctx, b.peer.NodeAddr, env))
+	for i, progress := range message.Progress {
+		r.settle(ctx, b.logs[i], b.states[i], progress, err)
+	}
+}
+
+// settle notes what the replica has, or looks for another replica after repeated failures.
+func (r *Replicator) settle(ctx context.Context, log *stream.Log, state *replicaState, sent *pb.StreamProgress, err error) {
+	if err == nil {
+		state.sent = sent.Offset + uint32(len(sent.Tokens))
+		state.failures = 0
+		if sent.Finished {
+			r.forget(sent.ResponseId)
+		}
+		return
+	}
+	state.failures++
+	if state.failures >= maxAppendFailures {
+		r.reopen(ctx, log, state)
+	}
+	r.Changed(log)
+}
+
+func (r *Replicator) forget(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.copies, id)
+	delete(r.dirty, id)
+}
+
+// reopen gives the log to another replica, which receives everything from the start.
+func (r *Replicator) reopen(ctx context.Context, log *stream.Log, state *replicaState) {
+	r.Metrics.Retry("replica_reopen")
+	for _, peer := range r.candidates(log.Meta().ID, r.Self, openTries) {
+		if peer.Node == state.peer.Node || r.openAt(context.WithoutCancel(ctx), peer, log) != nil {
+			continue
+		}
+		r.mu.Lock()
+		state.peer = peer
+		r.mu.Unlock()
+		state.sent, state.failures = 0, 0
+		return
+	}
+}
+
+// NewID returns the id of a response whose home is the node.
+func NewID(node, unique string) string { return "r-" + node + "-" + unique }
+
+// HomeOf returns the node an id names.
+func HomeOf(id string) string {
+	rest, ok := strings.CutPrefix(id, "r-")
+	end := strings.LastIndexByte(rest, '-')
+	if !ok || end < 0 {
+		return ""
+	}
+	return rest[:end]
+}
--- /dev/null
+++ b/internal/replica/serve.go
@@ -0,0 +1,138 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/stream"
+)
+
+// fetchWait is how long a node that is asked for progress waits for some before it answers with none.
+const fetchWait = 500 * time.Millisecond
+
+// Handle answers the stream messages of other nodes; it returns nil for messages of other kinds.
+func (r *Replicator) Handle(ctx context.Context, from string, env *pb.Envelope) *pb.Envelope {
+	switch body := env.Body.(type) {
+	case *pb.Envelope_StreamOpen:
+		r.Logs.Add(stream.NewLog(stream.MetaFrom(body.StreamOpen), time.Now())).SetHome(body.StreamOpen.Home)
+		return ack(code.OK, "")
+	case *pb.Envelope_StreamAppend:
+		return r.append(body.StreamAppend)
+	case *pb.Envelope_StreamFetch:
+		return r.fetch(ctx, body.StreamFetch)
+	case *pb.Envelope_StreamHandover:
+		return r.takeHandover(body.StreamHandover)
+	default:
+		return nil
+	}
+}
+
+func ack(c code.Code, message string) *pb.Envelope {
+	return &pb.Envelope{Body: &pb.Envelope_Ack{Ack: &pb.Ack{Code: uint32(c), Message: message}}}
+}
+
+// append applies progress. A log this node does not have, or a gap, makes the home node open the replica again.
+func (r *Replicator) append(message *pb.StreamAppend) *pb.Envelope {
+	now := time.Now()
+	for _, progress := range message.Progress {
+		log := r.Logs.Get(progress.ResponseId)
+		if log == nil {
+			return ack(code.UnknownResponse, "no log of "+progress.ResponseId)
+		}
+		if log.Meta().Home == r.Self.Node {
+			continue // this node has taken over; the old home's progress is stale
+		}
+		err := log.Apply(progress, now)
+		if err == stream.ErrGap {
+			return ack(code.InvalidEventID, "gap in "+progress.ResponseId)
+		}
+	}
+	return ack(code.OK, "")
+}
+
+// fetch answers with tokens after the given offset. It waits for some while the response runs here.
+func (r *Replicator) fetch(ctx context.Context, message *pb.StreamFetch) *pb.Envelope {
+	log := r.Logs.Get(message.ResponseId)
+	if log == nil || log.Meta().Workspace != message.Workspace {
+		return &pb.Envelope{Body: &pb.Envelope_StreamState{StreamState: &pb.StreamState{}}}
+	}
+	if message.TakeOver && log.Meta().Home != r.Self.Node && !log.End().Finished {
+		r.takeOver(log)
+	}
+	isHome := log.Meta().Home == r.Self.Node
+	if isHome {
+		r.resume(log)
+		waitForProgress(ctx, log, message.Offset)
+	}
+	meta := log.Meta()
+	state := &pb.StreamState{
+		Found:         true,
+		Home:          isHome,
+		HomeNode:      meta.Home,
+		Progress:      log.Progress(message.Offset),
+		Workspace:     meta.Workspace,
+		Path:          meta.Path,
+		Request:       meta.Request,
+		CreatedUnixMs: uint64(meta.Created.UnixMilli()),
+	}
+	if !meta.Deadline.IsZero() {
+		state.DeadlineUnixMs = uint64(meta.Deadline.UnixMilli())
+	}
+	return &pb.Envelope{Body: &pb.Envelope_StreamState{StreamState: state}}
+}
+
+// resume starts the attempts of a response that was cancelled because nobody read it.
+func (r *Replicator) resume(log *stream.Log) {
+	if log.End().Finished {
+		return
+	}
+	if err := r.Options.Run(log); err != nil {
+		_ = log.Finish(log.Attempt(), "", code.From(err).Code, time.Now())
+	}
+}
+
+func waitForProgress(ctx context.Context, log *stream.Log, offset uint32) {
+	changes, cancel := log.Subscribe()
+	defer cancel()
+	timer := time.NewTimer(fetchWait)
+	defer timer.Stop()
+	for log.Len() <= offset && !log.End().Finished {
+		select {
+		case <-changes:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// takeOver makes this node the home of a response whose home has gone.
+func (r *Replicator) takeOver(log *stream.Log) {
+	log.SetHome(r.Self.Node)
+	r.Metrics.Add("responses_taken_over", 1)
+	r.adopt(log)
+}
+
+// adopt finds a replica for a response that has become this node's and continues it.
+func (r *Replicator) adopt(log *stream.Log) {
+	ctx, cancel := context.WithTimeout(context.Background(), openTries*openTimeout)
+	defer cancel()
+	if err := r.Open(ctx, log); err != nil {
+		r.Log.WithError(err).Warn("response continues without a replica")
+	}
+	r.resume(log)
+}
+
+// takeHandover continues a response of a node that leaves.
+func (r *Replicator) takeHandover(message *pb.StreamHandover) *pb.Envelope {
+	log := r.Logs.Add(stream.NewLog(stream.MetaFrom(message.Open), time.Now()))
+	if err := log.Apply(message.Progress, time.Now()); err != nil && err != stream.ErrFinished && err != stream.ErrStaleAttempt {
+		return ack(code.InvalidEventID, err.Error())
+	}
+	log.SetHome(r.Self.Node)
+	r.adopt(log)
+	return ack(code.OK, "")
+}
