--- /dev/null
+++ b/pkg/claim/claim.go
@@ -0,0 +1,344 @@
+// Package claim runs non-repeatable calls at most once per workspace and key.
+//
+// # Design
+//
+// A call is guarded by one row of the table service. An attempt creates the row in state DISPATCHED by a
+// conditional write and sends only after that write is confirmed, so of all attempts for a key at most one
+// sends. The outcome replaces the row's state by DONE in the background; the caller does not wait for it, and the
+// holder answers from memory until the write succeeds. A call costs two row writes, which a node groups into
+// transactions, and a third one later when the row is purged.
+//
+// An attempt whose claim is not confirmed within the store timeout is abandoned. It never sends, so the caller is
+// told ran:"no". Its write may still take effect; a CANCELLED row written in the background, under the same
+// condition, keeps it from blocking the key. A new attempt replaces a CANCELLED row under a version condition.
+//
+// The result of a conditional write decides; reads only explain a conflict. Reads may be stale: "not found" after
+// a conflict proves nothing and the conditional write is repeated. A row that carries the attempt's own id proves
+// that its write took effect, however old the read is, because nobody else replaces the row of an attempt that
+// may still send.
+//
+// The row of another attempt is never answered with "no": the answer is the outcome from the row, from the node
+// that holds the attempt or from the service, or else ran:"unknown". Only a positive answer of the service counts,
+// because a call can reach the service after the query.
+//
+// # Retention
+//
+// A row expires Options.Retention after it was written. Expired rows may be replaced or purged, in any state; a
+// DISPATCHED row never before that time. Nodes allow for expirySlack of difference between their wall clocks.
+// After its retention a key is forgotten, and a request that carries it is a new call. A holder that was paused
+// for longer does not run the old call then, because it checks its store timeout right before it sends.
+// CANCELLED rows may be replaced at any time, also by a call with another digest, since no call ran.
+package claim
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"hash/maphash"
+	mathrand "math/rand/v2"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/platform"
+)
+
+// TableName is the table that holds the rows; their key is the escaped workspace, a slash and the call's escaped key.
+const TableName = "claim"
+
+// Defaults of Options.
+const (
+	DefaultStoreTimeout = 250 * time.Millisecond
+	DefaultPeerTimeout  = 250 * time.Millisecond
+	DefaultQueryTimeout = time.Second
+	DefaultSendTimeout  = 10 * time.Minute
+	DefaultRetention    = 24 * time.Hour
+	// DefaultKeep covers reads that are a few seconds old.
+	DefaultKeep       = 10 * time.Second
+	DefaultMaxOpen    = 4096
+	DefaultGroupWait  = 5 * time.Millisecond
+	DefaultGroupRows  = 64
+	DefaultRetryAfter = time.Second
+)
+
+// expirySlack is the difference between wall clocks of nodes that is allowed for.
+const expirySlack = 10 * time.Minute
+
+// shardCount spreads the locks; it is a power of two.
+const shardCount = 32
+
+// Call identifies one non-repeatable call.
+type Call struct {
+	Workspace, Key string
+	// Service names the service for outcome queries.
+	Service string
+	// Digest is the SHA-256 of method, path and body.
+	Digest [32]byte
+}
+
+// Outcome is the service's answer.
+type Outcome struct {
+	Status      uint32
+	ContentType string
+	Body        []byte
+}
+
+// Sent tells whether any byte of a failed call may have left the node.
+type Sent int
+
+// Values of Sent.
+const (
+	MaybeSent Sent = iota
+	NothingSent
+)
+
+// Send performs the call, with the attempt id for the service's own records. It may try several servers as long
+// as nothing was sent to the earlier ones. The context does not end with the caller's. Sent matters only with an
+// error.
+type Send func(ctx context.Context, attempt string) (Outcome, Sent, error)
+
+// Peers asks other entry nodes.
+type Peers interface {
+	AttemptQuery(ctx context.Context, node string, query *pb.AttemptQuery) (*pb.AttemptState, error)
+}
+
+// Outcomes asks services that can be queried for the outcome of a call. Found is false when the service knows
+// nothing of the call or cannot be queried.
+type Outcomes interface {
+	Outcome(ctx context.Context, call Call, attempt string) (out Outcome, found bool, err error)
+}
+
+// Options configure Claims. Table and Node are required.
+type Options struct {
+	Table platform.Table
+	// Node is the name of this node, which other nodes ask for its attempts.
+	Node string
+	// Peers and Outcomes may be nil.
+	Peers    Peers
+	Outcomes Outcomes
+	// ID returns a new attempt id; it must never repeat. The default is 128 random bits.
+	ID func() string
+	// Now is the clock; its values need a monotonic reading.
+	Now func() time.Time
+	// Jitter returns a number from 0 to 1.
+	Jitter func() float64
+	// StoreTimeout is the most time from the start of a call to a confirmed claim.
+	StoreTimeout time.Duration
+	// PeerTimeout and QueryTimeout bound one query to a node or a service.
+	PeerTimeout, QueryTimeout time.Duration
+	// SendTimeout bounds one call to the service.
+	SendTimeout time.Duration
+	// Retention is how long a row is kept.
+	Retention time.Duration
+	// Keep is how long a stored outcome stays in memory, for callers and nodes that read an old row.
+	Keep time.Duration
+	// MaxOpen bounds open attempts and background writes together; further calls are refused.
+	MaxOpen int
+	// GroupWait and GroupRows bound a group of writes.
+	GroupWait time.Duration
+	GroupRows int
+	// RetryAfter is the retry time in refusals.
+	RetryAfter time.Duration
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.StoreTimeout, DefaultStoreTimeout)
+	setDefault(&o.PeerTimeout, DefaultPeerTimeout)
+	setDefault(&o.QueryTimeout, DefaultQueryTimeout)
+	setDefault(&o.SendTimeout, DefaultSendTimeout)
+	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.Keep, DefaultKeep)
+	setDefault(&o.MaxOpen, DefaultMaxOpen)
+	setDefault(&o.GroupWait, DefaultGroupWait)
+	setDefault(&o.GroupRows, DefaultGroupRows)
+	setDefault(&o.RetryAfter, DefaultRetryAfter)
+	if o.ID == nil {
+		o.ID = randomID
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Jitter == nil {
+		o.Jitter = mathrand.Float64
+	}
+}
+
+func randomID() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+	return hex.EncodeToString(b[:])
+}
+
+// Claims runs the non-repeatable calls of one node. Its methods may be called concurrently.
+type Claims struct {
+	o     Options
+	group *grouper
+	seed  maphash.Seed
+	// shards hold the attempts by row key.
+	shards [shardCount]shard
+	open   counter
+	// background counts the background writes among the open ones.
+	background counter
+	// purgeAfter is the last key that Purge has seen.
+	purgeMu    sync.Mutex
+	purgeAfter string
+}
+
+// New returns Claims without open attempts.
+func New(o Options) *Claims {
+	o.setDefaults()
+	c := &Claims{o: o, seed: maphash.MakeSeed()}
+	c.group = &grouper{table: o.Table, wait: o.GroupWait, rows: o.GroupRows, timeout: o.StoreTimeout}
+	for i := range c.shards {
+		c.shards[i].entries = map[string]*entry{}
+		c.shards[i].abandoned = map[string]struct{}{}
+	}
+	return c
+}
+
+// rowKey escapes both parts, since callers may choose any bytes for the key.
+func rowKey(workspace, key string) string { return url.PathEscape(workspace) + "/" + url.PathEscape(key) }
+
+func (c *Claims) shard(key string) *shard {
+	return &c.shards[maphash.String(c.seed, key)%shardCount]
+}
+
+// Do runs the call unless it has run already, and returns its outcome. A call with the key of an attempt that is
+// open on this node joins it. Each error is a *code.Error: with ran:"no" the attempt was not sent and never will
+// be; with ran:"unknown" the call may have run or may still be running.
+//
+// When ctx ends first, an attempt that was not sent is given up unless other callers have joined it; one that
+// was sent goes on, so that a resend gets its outcome.
+func (c *Claims) Do(ctx context.Context, call Call, send Send) (Outcome, error) {
+	e, created, refusal := c.join(call)
+	if refusal != nil {
+		return Outcome{}, refusal
+	}
+	if created {
+		go c.run(context.WithoutCancel(ctx), e, call, send)
+	}
+	select {
+	case <-e.answered:
+		return e.result()
+	case <-ctx.Done():
+		return c.leave(ctx, e)
+	}
+}
+
+// join returns the open attempt for the key, or a new one.
+func (c *Claims) join(call Call) (e *entry, created bool, refusal error) {
+	key := rowKey(call.Workspace, call.Key)
+	s := c.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropOld(c.o.Now())
+	if e := s.entries[key]; e != nil {
+		if e.digest != call.Digest {
+			return nil, false, errKeyReused()
+		}
+		e.waiters++
+		return e, false, nil
+	}
+	if !c.open.addBelow(c.o.MaxOpen) {
+		return nil, false, code.New(code.ClaimStoreUnavailable, "too many calls wait for the table service").After(c.o.RetryAfter)
+	}
+	e = &entry{key: key, attempt: c.o.ID(), digest: call.Digest, waiters: 1, answered: make(chan struct{})}
+	s.entries[key] = e
+	return e, true, nil
+}
+
+// leave answers a caller whose context has ended.
+func (c *Claims) leave(ctx context.Context, e *entry) (Outcome, error) {
+	s := c.shard(e.key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.isAnswered() {
+		return e.result()
+	}
+	e.waiters--
+	if e.phase != claiming {
+		return Outcome{}, c.errUnknown("the caller's deadline passed while the call was running", ctx.Err())
+	}
+	if e.waiters > 0 {
+		return Outcome{}, c.errInProgress()
+	}
+	refusal := code.Wrap(code.DeadlineExceeded, code.RanNo, "the deadline passed before the call was sent", ctx.Err())
+	if errors.Is(ctx.Err(), context.Canceled) {
+		refusal = code.Wrap(code.CallerGone, code.RanNo, "the caller left before the call was sent", ctx.Err())
+	}
+	if e.othersRow {
+		refusal = c.errInProgress()
+	}
+	s.abandon(e, refusal)
+	return Outcome{}, refusal
+}
+
+// Query tells what became of an attempt of this node.
+func (c *Claims) Query(workspace, key, attempt string) *pb.AttemptState {
+	id := rowKey(workspace, key)
+	s := c.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.abandoned[attempt]; ok {
+		return &pb.AttemptState{State: pb.AttemptState_ABANDONED}
+	}
+	e := s.entries[id]
+	if e == nil || e.attempt != attempt {
+		return &pb.AttemptState{State: pb.AttemptState_UNKNOWN}
+	}
+	if e.phase == finished {
+		return &pb.AttemptState{State: pb.AttemptState_DONE, Outcome: e.outcome.toPB()}
+	}
+	return &pb.AttemptState{State: pb.AttemptState_RUNNING}
+}
+
+// Stats are current numbers.
+type Stats struct {
+	// Open counts attempts that run and background writes.
+	Open int
+	// Background counts writes of outcomes and cancellations that are not confirmed yet.
+	Background int
+}
+
+// Stats returns current numbers.
+func (c *Claims) Stats() Stats {
+	return Stats{Open: c.open.value(), Background: c.background.value()}
+}
+
+// Drain waits until no attempt is open and all background writes are confirmed. When ctx ends first, the keys of
+// unconfirmed writes stay DISPATCHED until their retention ends, and resends get ran:"unknown".
+func (c *Claims) Drain(ctx context.Context) error {
+	return c.open.waitZero(ctx)
+}
+
+func (o Outcome) toPB() *pb.ClaimOutcome {
+	// Protobuf refuses strings that are not UTF-8.
+	return &pb.ClaimOutcome{Status: o.Status, ContentType: strings.ToValidUTF8(o.ContentType, "?"), Body: o.Body}
+}
+
+func outcomeFrom(p *pb.ClaimOutcome) Outcome {
+	return Outcome{Status: p.GetStatus(), ContentType: p.GetContentType(), Body: p.GetBody()}
+}
+
+func errKeyReused() *code.Error {
+	return code.New(code.IdempotencyKeyReused, "the key was used with another request")
+}
+
+func (c *Claims) errUnknown(message string, cause error) *code.Error {
+	return code.Wrap(code.OutcomeUnknown, code.RanUnknown, message, cause).After(c.o.RetryAfter)
+}
+
+func (c *Claims) errInProgress() *code.Error {
+	return code.New(code.CallInProgress, "an attempt with this key is open").WithRan(code.RanUnknown).After(c.o.RetryAfter)
+}
