--- /dev/null
+++ b/internal/adapter/servicehttp/servicehttp.go
@@ -0,0 +1,126 @@
+// Package servicehttp is the backend.Service for plain services over HTTP/1.1.
+package servicehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
+	"github.com/pollenlug/pollenlug/pkg/backend"
+)
+
+// DefaultMaxAnswerBytes is the default of Options.MaxAnswerBytes.
+const DefaultMaxAnswerBytes = 16 << 20
+
+// DefaultLoadPath is the default of Options.LoadPath.
+const DefaultLoadPath = "/v1/load"
+
+// Options configure a Client. Zero values mean the defaults.
+type Options struct {
+	// MaxAnswerBytes bounds the body of an answer.
+	MaxAnswerBytes int64
+	// LoadPath is where services report their load.
+	LoadPath string
+	HTTP     httpclient.Options
+}
+
+// Client implements backend.Service.
+type Client struct {
+	options Options
+	http    *httpclient.Client
+}
+
+var _ backend.Service = (*Client)(nil)
+
+var errAnswerTooLarge = errors.New("servicehttp: answer is too large")
+
+// New returns a client for all plain services.
+func New(o Options) *Client {
+	if o.MaxAnswerBytes == 0 {
+		o.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
+	if o.LoadPath == "" {
+		o.LoadPath = DefaultLoadPath
+	}
+	return &Client{o, httpclient.New(o.HTTP)}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.Close() }
+
+// Call implements backend.Service. It sends the request at most once. When ctx ends after that, the error is both
+// backend.ErrInterrupted and that of ctx. Status 503 gives backend.ErrRefused; every other status is an answer.
+func (c *Client) Call(ctx context.Context, addr string, call backend.CallRequest) (backend.CallResponse, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+addr+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return backend.CallResponse{}, fmt.Errorf("%w: %w", backend.ErrUnreachable, err)
+	}
+	req.Header = endToEnd(call.Header)
+	if host := call.Header.Get("Host"); host != "" {
+		req.Host = host
+		req.Header.Del("Host")
+	}
+	httpclient.SendOnce(req)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return backend.CallResponse{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.options.MaxAnswerBytes+1))
+	if err == nil && int64(len(body)) > c.options.MaxAnswerBytes {
+		err = errAnswerTooLarge
+	}
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		return backend.CallResponse{}, fmt.Errorf("%w: status %d", backend.ErrRefused, resp.StatusCode)
+	case err != nil:
+		return backend.CallResponse{}, fmt.Errorf("%w: %w", backend.ErrInterrupted, err)
+	}
+	return backend.CallResponse{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+}
+
+// Load implements backend.Service.
+func (c *Client) Load(ctx context.Context, addr string) (backend.Load, error) {
+	var load backend.Load
+	resp, err := c.Call(ctx, addr, backend.CallRequest{Method: http.MethodGet, Path: c.options.LoadPath})
+	if err != nil {
+		return load, err
+	}
+	if resp.Status != http.StatusOK {
+		return load, fmt.Errorf("%w: status %d", backend.ErrInterrupted, resp.Status)
+	}
+	if err := json.Unmarshal(resp.Body, &load); err != nil {
+		return load, fmt.Errorf("%w: %w", backend.ErrInterrupted, err)
+	}
+	return load, nil
+}
+
+// hopByHop are the headers that belong to one connection, from RFC 9110 section 7.6.1.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns a copy of h without the headers that belong to one connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		return http.Header{}
+	}
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/engine/faults.go
@@ -0,0 +1,92 @@
+package engine
+
+import "time"
+
+// Crash ends the engine as the end of its process does: connections are closed, new ones are refused until Restart,
+// and cache, queue and loaded models are lost. A crashed engine is not frozen.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	if e.crashed {
+		e.mu.Unlock()
+		return
+	}
+	e.crashed = true
+	e.stats.Crashes++
+	for _, s := range e.running {
+		s.ended = true
+		e.forget(s)
+	}
+	for _, s := range e.waiting {
+		s.ended = true
+	}
+	e.running = nil
+	e.waiting = nil
+	e.unfreeze()
+	close(e.dead)
+	e.mu.Unlock()
+	e.net.Crash()
+}
+
+func (e *Engine) crashPoisoned() {
+	e.Crash()
+	if e.options.RestartAfter > 0 {
+		time.AfterFunc(e.options.RestartAfter, func() { _ = e.Restart() })
+	}
+}
+
+// Restart starts a crashed engine again, empty and with the models of its options. It returns an error when the
+// address is taken; for an engine that runs it does nothing.
+func (e *Engine) Restart() error {
+	select {
+	case <-e.closing:
+		return nil
+	default:
+	}
+	e.mu.Lock()
+	if !e.crashed {
+		e.mu.Unlock()
+		return nil
+	}
+	e.reset()
+	e.mu.Unlock()
+	return e.net.Restart()
+}
+
+// Freeze stops all progress: connections stay open and nothing moves until Unfreeze or Crash.
+func (e *Engine) Freeze() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.frozen == nil && !e.crashed {
+		e.frozen = make(chan struct{})
+		e.net.Freeze()
+	}
+}
+
+// Unfreeze ends Freeze.
+func (e *Engine) Unfreeze() {
+	e.mu.Lock()
+	e.unfreeze()
+	e.mu.Unlock()
+	e.net.Unfreeze()
+}
+
+func (e *Engine) unfreeze() {
+	if e.frozen != nil {
+		close(e.frozen)
+		e.frozen = nil
+	}
+}
+
+// SetPoison makes the engine crash when it starts to run a prompt that contains text; "" ends this.
+func (e *Engine) SetPoison(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.poison = text
+}
+
+// SetCacheEventLoss sets the probability that a cache event is lost.
+func (e *Engine) SetCacheEventLoss(probability float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.events.loss = probability
+}
--- /dev/null
+++ b/internal/standin/netfault/netfault.go
@@ -0,0 +1,246 @@
+// Package netfault serves an HTTP handler over connections that can be made to fail: closed all at once, refused,
+// or open without any progress. The stand-ins use it to show the faults of a process and of the network.
+package netfault
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+)
+
+var errClosed = errors.New("netfault: server is closed")
+
+// Server serves one handler on one address. Its methods may be called from several goroutines.
+type Server struct {
+	handler http.Handler
+	listen  ListenFunc
+
+	mu       sync.Mutex
+	addr     string
+	listener net.Listener
+	http     *http.Server
+	conns    map[*conn]struct{}
+	frozen   chan struct{} // closed by Unfreeze; nil when the server is not frozen
+	closed   bool
+}
+
+// ListenFunc opens a listener at an address.
+type ListenFunc func(addr string) (net.Listener, error)
+
+// New returns a server that does not listen yet. A nil listen means TCP.
+func New(handler http.Handler, listen ListenFunc) *Server {
+	if listen == nil {
+		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	return &Server{handler: handler, listen: listen, conns: map[*conn]struct{}{}}
+}
+
+// Listen starts to serve at addr, an IP:port, and returns. Port 0 chooses a free port, which Restart uses again.
+func (s *Server) Listen(addr string) error {
+	l, err := s.listen(addr)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = l.Close()
+		return errClosed
+	}
+	s.addr = l.Addr().String()
+	s.listener = l
+	s.http = &http.Server{Handler: s.handler}
+	go func(h *http.Server) { _ = h.Serve(&listener{Listener: l, server: s}) }(s.http)
+	return nil
+}
+
+// Addr returns the address, or "" before Listen.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+// Crash closes the listener and all connections. Without a listener it does nothing.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	h, l := s.http, s.listener
+	s.http, s.listener = nil, nil
+	open := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	s.unfreeze()
+	s.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	for _, c := range open {
+		c.abort()
+	}
+	if h != nil {
+		_ = h.Close()
+	}
+}
+
+// Restart listens at the same address again after Crash. It does nothing when the server is not crashed.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	addr, running := s.addr, s.listener != nil
+	s.mu.Unlock()
+	if running || addr == "" {
+		return nil
+	}
+	return s.Listen(addr)
+}
+
+// Close ends the server for good.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.Crash()
+}
+
+// Freeze stops all progress: connections stay open and new ones are accepted, but no byte moves until Unfreeze.
+func (s *Server) Freeze() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.frozen == nil {
+		s.frozen = make(chan struct{})
+	}
+}
+
+// Unfreeze ends Freeze.
+func (s *Server) Unfreeze() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unfreeze()
+}
+
+func (s *Server) unfreeze() {
+	if s.frozen != nil {
+		close(s.frozen)
+		s.frozen = nil
+	}
+}
+
+// SilenceOpen makes the connections that are open now silent until their peer closes them; new ones work. It
+// returns their number.
+func (s *Server) SilenceOpen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.silenceOnce.Do(func() { close(c.silent) })
+	}
+	return len(s.conns)
+}
+
+func (s *Server) frozenNow() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.frozen
+}
+
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, server: l.server, silent: make(chan struct{}), closed: make(chan struct{})}
+	l.server.mu.Lock()
+	l.server.conns[c] = struct{}{}
+	crashed := l.server.listener != l.Listener
+	l.server.mu.Unlock()
+	if crashed {
+		c.abort()
+	}
+	return c, nil
+}
+
+// conn passes bytes on unless the server is frozen or the connection is silent.
+type conn struct {
+	net.Conn
+	server      *Server
+	silent      chan struct{}
+	silenceOnce sync.Once
+	closed      chan struct{}
+	closeOnce   sync.Once
+}
+
+// pass blocks while no byte may move.
+func (c *conn) pass() error {
+	for {
+		select {
+		case <-c.silent:
+			<-c.closed
+			return net.ErrClosed
+		default:
+		}
+		frozen := c.server.frozenNow()
+		if frozen == nil {
+			return nil
+		}
+		select {
+		case <-frozen:
+		case <-c.silent:
+		case <-c.closed:
+			return net.ErrClosed
+		}
+	}
+}
+
+// Read implements net.Conn. An end of the connection is always reported, so that a silent connection which the
+// peer closes does not stay.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil {
+			var timeout net.Error
+			if !errors.As(err, &timeout) || !timeout.Timeout() {
+				_ = c.Close() // releases a Write that waits; a timeout is how net/http ends its own pending read
+			}
+			return n, err
+		}
+		select {
+		case <-c.silent:
+			continue // drops what arrives
+		default:
+		}
+		return n, c.pass()
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.pass(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		c.server.mu.Lock()
+		delete(c.server.conns, c)
+		c.server.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// abort closes the connection with a reset, as the end of a process with unsent data does.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
