--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+
+	"github.com/integrii/flaggy"
 )
 
 // Exit codes of the binary.
@@ -16,12 +18,70 @@
 // Version is the release of the binary.
 const Version = "0.1.0"
 
-// Main runs one command and returns its exit code.
+// command is one subcommand; run returns an exit code.
+type command struct {
+	parsed *flaggy.Subcommand
+	run    func(stdout, stderr io.Writer) int
+}
+
+// Main runs one command and returns its exit code. A wrong command line prints the help and exits with ExitUsage.
 func Main(args []string, stdout, stderr io.Writer) int {
-	if len(args) == 1 && args[0] == "version" {
+	parser := flaggy.NewParser("pollenlug")
+	parser.Description = "Serves language models and plain services on reclaimable instances. " +
+		"Exit codes: 0 success, 1 the command found a fault, 2 wrong command line or setting."
+	parser.Version = Version
+	parser.ShowCompletion = false
+	commands := []*command{devCommand(), serveCommand(), standinCommand(), configCommand(), benchCommand(), versionCommand()}
+	for _, c := range commands {
+		parser.AttachSubcommand(c.parsed, 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(stderr, "pollenlug:", err)
+		return ExitUsage
+	}
+	for _, c := range commands {
+		if c.parsed.Used {
+			return c.run(stdout, stderr)
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
+
+func newCommand(name, description string) *command {
+	c := &command{parsed: flaggy.NewSubcommand(name)}
+	c.parsed.Description = description
+	return c
+}
+
+func versionCommand() *command {
+	c := newCommand("version", "Prints the release.")
+	c.run = func(stdout, _ io.Writer) int {
 		fmt.Fprintln(stdout, "pollenlug", Version)
 		return ExitOK
 	}
-	fmt.Fprintln(stderr, "usage: pollenlug dev|serve|standin|config|bench|version")
+	return c
+}
+
+func configCommand() *command {
+	c := newCommand("config", "Works on an operators' folder.")
+	check := flaggy.NewSubcommand("check")
+	check.Description = "Merges the folder and prints the result, or each fault as file: field: reason."
+	dir := ""
+	check.AddPositionalValue(&dir, "DIR", 1, true, "The folder.")
+	c.parsed.AttachSubcommand(check, 1)
+	c.run = func(stdout, stderr io.Writer) int {
+		if !check.Used {
+			fmt.Fprintln(stderr, "usage: pollenlug config check DIR")
+			return ExitUsage
+		}
+		return RunConfigCheck(dir, stdout)
+	}
+	return c
+}
+
+// fail prints one line and returns ExitUsage.
+func fail(stderr io.Writer, err error) int {
+	fmt.Fprintln(stderr, "pollenlug:", err)
 	return ExitUsage
 }
--- a/internal/generate/move.go
+++ b/internal/generate/move.go
@@ -123,3 +123,15 @@
 	}
 	return id
 }
+
+// OutlastsDeadline reports whether a response runs here and is not expected to finish before the deadline.
+func (r *Runner) OutlastsDeadline(id string, deadline time.Time) bool {
+	run := r.get(id)
+	if run == nil {
+		return false
+	}
+	tokens := run.log.Len()
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return !run.finishesBefore(deadline, tokens)
+}
--- /dev/null
+++ b/internal/node/responses.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/gateway"
+	"github.com/pollenlug/pollenlug/internal/generate"
+	"github.com/pollenlug/pollenlug/internal/replica"
+	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/limit"
+	"github.com/pollenlug/pollenlug/pkg/stream"
+)
+
+// uniqueBytes makes the ids of two responses of one node differ.
+const uniqueBytes = 8
+
+// responses accepts requests and finds responses; it implements gateway.Responses.
+type responses struct {
+	node       string
+	leaving    func() bool
+	strikes    generate.Strikes
+	admission  *limit.Admission
+	logs       *stream.Store
+	replicator *replica.Replicator
+	runner     *generate.Runner
+}
+
+// Start implements gateway.Responses. The order matters: a request that is refused leaves nothing behind, and a
+// request that has a log and a replica is not refused any more.
+func (r *responses) Start(ctx context.Context, req gateway.StartRequest) (*gateway.Generation, error) {
+	if r.leaving() {
+		return nil, code.New(code.NodeLeaving, "the entry node is leaving").After(time.Second)
+	}
+	if _, err := r.strikes.Check(generate.Digest(req.Path, req.Body)); err != nil {
+		return nil, err
+	}
+	grant, err := r.admission.Acquire(ctx, limit.Request{
+		Workspace: req.Workspace.Name,
+		Priority:  req.Workspace.Priority,
+		Tokens:    req.Request.MaxTokens,
+		Deadline:  req.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	log := stream.NewLog(r.meta(req), time.Now())
+	release := sync.OnceFunc(func() { grant.Done(log.Len()) })
+	if err := r.accept(ctx, log, release); err != nil {
+		release()
+		return nil, err
+	}
+	return &gateway.Generation{Log: log, Close: func() { r.runner.ReaderClosed(log) }}, nil
+}
+
+func (r *responses) meta(req gateway.StartRequest) stream.Meta {
+	return stream.Meta{
+		ID:        replica.NewID(r.node, unique()),
+		Workspace: req.Workspace.Name,
+		Home:      r.node,
+		Path:      req.Path,
+		Request:   req.Body,
+		Created:   time.Now(),
+		Deadline:  req.Deadline,
+	}
+}
+
+func (r *responses) accept(ctx context.Context, log *stream.Log, release func()) error {
+	id := log.Meta().ID
+	r.logs.Add(log)
+	if err := r.replicator.Open(ctx, log); err != nil {
+		r.logs.Remove(id)
+		return err
+	}
+	if err := r.runner.Run(log, release); err != nil {
+		r.logs.Remove(id)
+		return err
+	}
+	return nil
+}
+
+func unique() string {
+	var b [uniqueBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Attach implements gateway.Responses.
+func (r *responses) Attach(ctx context.Context, workspace, id string) (*gateway.Generation, error) {
+	log, release, err := r.replicator.Attach(ctx, workspace, id)
+	if err != nil {
+		return nil, err
+	}
+	done := func() {
+		release()
+		r.runner.ReaderClosed(log)
+	}
+	return &gateway.Generation{Log: log, Close: done}, nil
+}
