--- /dev/null
+++ b/internal/adapter/enginehttp/bench_test.go
@@ -0,0 +1,111 @@
+package enginehttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
+	"github.com/pollenlug/pollenlug/internal/standin/engine"
+	"github.com/pollenlug/pollenlug/pkg/backend"
+	"gotest.tools/v3/assert"
+)
+
+// lineSource returns one chunk per read, as an engine sends them.
+type lineSource struct {
+	left int
+	line []byte
+}
+
+func (s *lineSource) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return copy(p, `{"offset":1,"finish_reason":"stop"}`+"\n"), nil
+	}
+	s.left--
+	return copy(p, s.line), nil
+}
+
+// BenchmarkChunk measures parsing and the silence limit per token, without the network.
+func BenchmarkChunk(b *testing.B) {
+	silence := startSilence(time.Hour, func() {})
+	defer silence.stop()
+	client := New(Options{})
+	b.ReportAllocs()
+	source := &lineSource{b.N, []byte(`{"offset":1234,"tokens":[" token"]}` + "\n")}
+	if err := client.readChunks(source, silence, func(backend.Chunk) error { return nil }); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkStreamLoopback measures one stream over loopback TCP per token, one write per token: the time, and the CPU
+// time of the whole process, that is of the client and of a minimal server.
+func BenchmarkStreamLoopback(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, head)
+		token := []byte(piece(`{"offset":1234,"tokens":[" token"]}` + "\n"))
+		for range b.N {
+			_, _ = c.Write(token)
+		}
+		_, _ = io.WriteString(c, piece(`{"offset":1,"finish_reason":"stop"}`+"\n")+"0\r\n\r\n")
+	}()
+	client := New(Options{})
+	defer client.Close()
+	b.ReportAllocs()
+	before := cpuTime(b)
+	err = client.Generate(context.Background(), l.Addr().String(), backend.GenerateRequest{ID: "1"}, func(backend.Chunk) error { return nil })
+	assert.NilError(b, err)
+	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/token")
+}
+
+// BenchmarkEngine500Streams measures 500 concurrent streams of one stand-in per token, client and stand-in together.
+// Each run has as many rounds of 500 answers as give at least b.N tokens.
+func BenchmarkEngine500Streams(b *testing.B) {
+	const streams, length = 500, 64
+	e := engine.New(engine.Options{Models: []string{"m"}, MaxBatch: streams, StepBase: 10 * time.Millisecond, StepPerSequence: 10 * time.Microsecond})
+	defer e.Close()
+	assert.NilError(b, e.Listen("127.0.0.1:0"))
+	client := New(Options{HTTP: httpclient.Options{}})
+	defer client.Close()
+	before := cpuTime(b)
+	start := time.Now()
+	tokens := 0
+	for round := 0; tokens < b.N; round++ {
+		var all sync.WaitGroup
+		for i := range streams {
+			all.Go(func() {
+				req := backend.GenerateRequest{ID: fmt.Sprint(round, i), Model: "m", Prompt: fmt.Sprint(round, i), MaxTokens: length}
+				err := client.Generate(context.Background(), e.Addr(), req, func(backend.Chunk) error { return nil })
+				assert.Check(b, err)
+			})
+		}
+		all.Wait()
+		tokens += streams * length
+	}
+	b.ReportMetric(float64(cpuTime(b)-before)/float64(tokens), "cpu-ns/token")
+	b.ReportMetric(float64(tokens)/time.Since(start).Seconds(), "tokens/s")
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -0,0 +1,270 @@
+package enginehttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
+	"github.com/pollenlug/pollenlug/internal/standin/engine"
+	"github.com/pollenlug/pollenlug/internal/standin/netfault"
+	"github.com/pollenlug/pollenlug/pkg/backend"
+	"gotest.tools/v3/assert"
+)
+
+const addr = "engine:1"
+
+var classes = []error{
+	backend.ErrRefused, backend.ErrUnreachable, backend.ErrInterrupted, backend.ErrSilent, backend.ErrStaleFencing,
+}
+
+// assertClass checks that err has the class want and no other.
+func assertClass(t *testing.T, err, want error) {
+	t.Helper()
+	for _, class := range classes {
+		assert.Equal(t, errors.Is(err, class), class == want, "%v: %v", class, err)
+	}
+}
+
+// rawServer answers each connection by a function, after it has read the request when readRequest is set.
+func rawServer(t *testing.T, network *netfault.PipeNetwork, readRequest bool, answer func(c net.Conn)) net.Listener {
+	l, err := network.Listen(addr)
+	assert.NilError(t, err)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if readRequest {
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					_ = c.Close()
+					continue
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+			}
+			answer(c)
+		}
+	}()
+	return l
+}
+
+const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func piece(line string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(line), line) }
+
+// Guards against a failure of the wrong class. ErrUnreachable allows a resend of anything, so it must not appear once
+// a byte may have left; ErrSilent closes a connection that others would wait on.
+func TestErrorClasses(t *testing.T) {
+	token := piece(`{"offset":0,"tokens":["a"]}` + "\n")
+	cases := []struct {
+		name        string
+		listens     bool
+		readRequest bool
+		answer      func(c net.Conn)
+		want        error
+		tokens      int
+	}{
+		{"no listener", false, false, nil, backend.ErrUnreachable, 0},
+		{"closed during the request", true, false, func(c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, 10))
+			_ = c.Close()
+		}, backend.ErrInterrupted, 0},
+		{"closed before the header", true, true, func(c net.Conn) { _ = c.Close() }, backend.ErrInterrupted, 0},
+		{"closed after the header", true, true, func(c net.Conn) {
+			_, _ = io.WriteString(c, head)
+			_ = c.Close()
+		}, backend.ErrInterrupted, 0},
+		{"closed after a token", true, true, func(c net.Conn) {
+			_, _ = io.WriteString(c, head+token)
+			_ = c.Close()
+		}, backend.ErrInterrupted, 1},
+		{"complete body without the last chunk", true, true, func(c net.Conn) {
+			_, _ = io.WriteString(c, head+token+"0\r\n\r\n")
+		}, backend.ErrInterrupted, 1},
+		{"malformed chunk", true, true, func(c net.Conn) {
+			_, _ = io.WriteString(c, head+piece("{\"offset\":x}\n"))
+		}, backend.ErrInterrupted, 0},
+		{"refused", true, true, func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		}, backend.ErrRefused, 0},
+		{"other status", true, true, func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+		}, backend.ErrInterrupted, 0},
+		{"silent before the header", true, true, func(net.Conn) {}, backend.ErrSilent, 0},
+		{"silent after a token", true, true, func(c net.Conn) { _, _ = io.WriteString(c, head+token) }, backend.ErrSilent, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := netfault.NewPipeNetwork()
+				if c.listens {
+					defer rawServer(t, network, c.readRequest, c.answer).Close()
+				}
+				client := New(Options{HTTP: httpclient.Options{Dial: network.Dial}})
+				defer client.Close()
+				tokens := 0
+				err := client.Generate(t.Context(), addr, backend.GenerateRequest{ID: "1"}, func(backend.Chunk) error {
+					tokens++
+					return nil
+				})
+				assertClass(t, err, c.want)
+				assert.Equal(t, tokens, c.tokens)
+			})
+		})
+	}
+}
+
+// Guards against a limit that takes effect late, that ends a stream whose receiver is slow, or that ignores the signs
+// of life of a request that waits.
+func TestSilenceLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := netfault.NewPipeNetwork()
+		defer rawServer(t, network, true, func(c net.Conn) {
+			_, _ = io.WriteString(c, head)
+			for range 4 { // signs of life
+				time.Sleep(4 * time.Second)
+				_, _ = io.WriteString(c, piece("\n"))
+			}
+			for i := range 2 {
+				_, _ = io.WriteString(c, piece(fmt.Sprintf(`{"offset":%d,"tokens":["a"]}`+"\n", i)))
+			}
+		}).Close()
+		client := New(Options{HTTP: httpclient.Options{Dial: network.Dial}, FirstSilence: 5 * time.Second, Silence: time.Second})
+		defer client.Close()
+		start := time.Now()
+		err := client.Generate(t.Context(), addr, backend.GenerateRequest{ID: "1"}, func(backend.Chunk) error {
+			time.Sleep(10 * time.Second)
+			return nil
+		})
+		assertClass(t, err, backend.ErrSilent)
+		assert.Equal(t, time.Since(start), 4*4*time.Second+2*10*time.Second+time.Second)
+	})
+}
+
+// Guards against the reuse of a connection that went silent, while new connections work.
+func TestSilentConnectionIsNotReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := netfault.NewPipeNetwork()
+		e := engine.New(engine.Options{Models: []string{"m"}, Listen: network.Listen})
+		defer e.Close()
+		assert.NilError(t, e.Listen(addr))
+		client := New(Options{HTTP: httpclient.Options{Dial: network.Dial}})
+		defer client.Close()
+		req := backend.GenerateRequest{ID: "1", Model: "m", Prompt: "p", MaxTokens: 20}
+		tokens := 0
+		err := client.Generate(t.Context(), addr, req, func(backend.Chunk) error {
+			if tokens++; tokens == 10 {
+				assert.Equal(t, e.Net().SilenceOpen(), 1)
+			}
+			return nil
+		})
+		assertClass(t, err, backend.ErrSilent)
+		assert.NilError(t, client.Generate(t.Context(), addr, req, func(backend.Chunk) error { return nil }))
+	})
+}
+
+// Guards against a wrong class when the context ends while the server cannot be reached: then nothing was sent.
+func TestContextEndsDuringDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := New(Options{HTTP: httpclient.Options{
+			DialTimeout: time.Minute,
+			Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+		}})
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		err := client.Generate(ctx, addr, backend.GenerateRequest{ID: "1"}, nil)
+		assertClass(t, err, backend.ErrUnreachable)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+	})
+}
+
+// Guards against a new connection for each request, which would cost a round trip.
+func TestConnectionIsReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := netfault.NewPipeNetwork()
+		e := engine.New(engine.Options{Models: []string{"m"}, Listen: network.Listen})
+		defer e.Close()
+		assert.NilError(t, e.Listen(addr))
+		dials := 0
+		client := New(Options{HTTP: httpclient.Options{Dial: func(ctx context.Context, n, a string) (net.Conn, error) {
+			dials++
+			return network.Dial(ctx, n, a)
+		}}})
+		defer client.Close()
+		for range 5 {
+			req := backend.GenerateRequest{ID: "1", Model: "m", Prompt: "p", MaxTokens: 3}
+			assert.NilError(t, client.Generate(t.Context(), addr, req, func(backend.Chunk) error { return nil }))
+			_, err := client.Load(t.Context(), addr)
+			assert.NilError(t, err)
+			assert.ErrorIs(t, client.Generate(t.Context(), addr, backend.GenerateRequest{}, nil), backend.ErrRefused)
+			synctest.Wait() // the transport takes the connection back in a goroutine
+		}
+		assert.Equal(t, dials, 1)
+	})
+}
+
+// Guards against a hand-written parser that differs from encoding/json.
+func FuzzParseChunk(f *testing.F) {
+	for _, seed := range []string{
+		`{"offset":0,"tokens":["a"]}`, `{"offset":12,"tokens":["a"," b","é"]}`, `{"offset":007,"tokens":["a"]}`,
+		`{"offset":4294967296,"tokens":["a"]}`, `{"offset":1,"tokens":["\u00e9\n"]}`, "{\"offset\":1,\"tokens\":[\"\xff\"]}",
+		`{"offset":3,"tokens":["x"],"finish_reason":"stop","usage":{"prompt_tokens":4}}`, `{"offset":1,"tokens":["a",]}`,
+		`{"offset":1,"tokens":[]}`, `{"offset":1,"tokens":["a"]}x`, `{"offset":-1,"tokens":["a"]}`, ``,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		var want backend.Chunk
+		wantErr := json.Unmarshal(line, &want)
+		var p chunkParser
+		got, err := p.parse(line)
+		assert.Equal(t, err == nil, wantErr == nil, "%q", line)
+		if err == nil {
+			assert.DeepEqual(t, got, want)
+		}
+	})
+}
+
+// Guards against lines that are cut or joined at the borders of reads and of the buffer, and tokens that change when
+// the buffer is used again.
+func TestLinesAcrossReads(t *testing.T) {
+	var body bytes.Buffer
+	var want []string
+	for i := range 200 {
+		token := strings.Repeat(string(rune('a'+i%26)), 1+i*53%(3*lineBufferBytes))
+		want = append(want, token)
+		fmt.Fprintf(&body, `{"offset":%d,"tokens":[%q]}`+"\n\n", i, token)
+	}
+	body.WriteString(`{"offset":200,"finish_reason":"stop"}` + "\n")
+	silence := startSilence(time.Hour, func() {})
+	defer silence.stop()
+	client := New(Options{})
+	var got []string
+	err := client.readChunks(shortReader{&body}, silence, func(c backend.Chunk) error {
+		got = append(got, c.Tokens...)
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
+
+// shortReader returns at most 1,000 bytes per read.
+type shortReader struct{ io.Reader }
+
+func (r shortReader) Read(p []byte) (int, error) { return r.Reader.Read(p[:min(len(p), 1000)]) }
