--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -116,7 +116,8 @@
 	closing chan struct{}
 	closed  sync.Once
 
-	served atomic.Uint64 // tokens written to callers
+	served   atomic.Uint64 // tokens written to callers
+	isFrozen atomic.Bool   // frozen is not nil; spares the lock for each token
 
 	mu        sync.Mutex
 	dead      chan struct{} // closed by Crash
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -58,6 +58,7 @@
 	defer e.mu.Unlock()
 	if e.frozen == nil && !e.crashed {
 		e.frozen = make(chan struct{})
+		e.isFrozen.Store(true)
 		e.net.Freeze()
 	}
 }
@@ -74,6 +75,7 @@
 	if e.frozen != nil {
 		close(e.frozen)
 		e.frozen = nil
+		e.isFrozen.Store(false)
 	}
 }
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -203,12 +203,12 @@
 
 // waitUnfrozen blocks while the engine is frozen. It returns false when ctx, the incarnation or the engine ends.
 func (e *Engine) waitUnfrozen(ctx context.Context, dead <-chan struct{}) bool {
-	for {
+	for e.isFrozen.Load() {
 		e.mu.Lock()
 		frozen := e.frozen
 		e.mu.Unlock()
 		if frozen == nil {
-			return true
+			break
 		}
 		select {
 		case <-frozen:
@@ -220,4 +220,5 @@
 			return false
 		}
 	}
+	return true
 }
--- a/internal/standin/netfault/netfault.go
+++ b/internal/standin/netfault/netfault.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 var errClosed = errors.New("netfault: server is closed")
@@ -23,6 +24,8 @@
 	conns    map[*conn]struct{}
 	frozen   chan struct{} // closed by Unfreeze; nil when the server is not frozen
 	closed   bool
+
+	isFrozen atomic.Bool // frozen is not nil; spares the lock for each write
 }
 
 // ListenFunc opens a listener at an address.
@@ -109,6 +112,7 @@
 	defer s.mu.Unlock()
 	if s.frozen == nil {
 		s.frozen = make(chan struct{})
+		s.isFrozen.Store(true)
 	}
 }
 
@@ -123,6 +127,7 @@
 	if s.frozen != nil {
 		close(s.frozen)
 		s.frozen = nil
+		s.isFrozen.Store(false)
 	}
 }
 
@@ -138,6 +143,9 @@
 }
 
 func (s *Server) frozenNow() chan struct{} {
+	if !s.isFrozen.Load() {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.frozen
