--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -7,7 +7,7 @@
 const (
 	// headroom is the share of the target above which the latency term rises steeply. Estimates are means, and the
 	// target is a 95th percentile.
-	headroom     = 0.5
+	headroom     = 0.7
 	flatSlope    = 0.1
 	steepSlope   = 8.0
 	lateSlope    = 2.0
@@ -15,16 +15,16 @@
 	occupiedCost = 0.6 // price term of a server that runs something already, so that idle servers stay idle
 	// recomputeUnit is the number of tokens whose repeated prefill weighs as much as the whole price term.
 	recomputeUnit = 2048.0
-	minRecompute  = 0.5
+	minRecompute  = 2.0
 	// baseLoss is the assumed probability that a reclaimable server is lost during a request in calm times.
 	baseLoss = 0.01
 	// suspectHint discounts hints made before a gap in the cache events.
 	suspectHint = 0.5
 	// maxOccupancy is the share of a server's concurrency above which it counts as overloaded. The rest takes what
 	// other nodes send before the next report.
-	maxOccupancy = 0.7
+	maxOccupancy = 0.85
 	// noise spreads nodes that see the same report over servers of about the same score.
-	noise = 0.1
+	noise = 0.2
 	// adapterLoad is the time to load an adapter that is not resident, in seconds.
 	adapterLoad = 0.25
 	// priorityCost divides the price term per priority class above the lowest.
@@ -87,6 +87,9 @@
 	case RoundRobin:
 		return c.roundRobin()
 	case LeastLoaded:
+		if best := c.lessLoadedOfTwo(); best >= 0 {
+			return best
+		}
 		return c.scan(c.loadScore)
 	case PrefixOnly:
 		return c.scan(c.prefixScore)
@@ -165,6 +168,22 @@
 	return best
 }
 
+// lessLoadedOfTwo compares two random servers. With late load reports this holds a lower latency than the least loaded
+// of all servers, to which every node would send.
+func (c *chooser) lessLoadedOfTwo() int32 {
+	n := uint64(len(c.members))
+	a, b := c.members[c.router.random()%n], c.members[c.router.random()%n]
+	switch {
+	case !c.eligible(a) && !c.eligible(b):
+		return -1
+	case !c.eligible(a):
+		return b
+	case c.eligible(b) && c.loadScore(b) < c.loadScore(a):
+		return b
+	}
+	return a
+}
+
 func (c *chooser) roundRobin() int32 {
 	n := uint64(len(c.members))
 	start := c.router.turn.Add(1)
--- a/pkg/route/sim_test.go
+++ b/pkg/route/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -307,7 +308,7 @@
 // priceAtTarget returns the price of the whole fleet per million tokens at the highest load that keeps the target.
 func priceAtTarget(work workload, policy Policy, sample int) (price, load float64) {
 	price = math.Inf(1)
-	for _, l := range []float64{0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 1.1, 1.2} {
+	for _, l := range []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 1.1, 1.2, 1.4, 1.6, 1.8, 2.0} {
 		res := simulate(work, policy, sample, l, 11)
 		if res.p95 > simTarget {
 			break
@@ -317,27 +318,53 @@
 	return price, load
 }
 
-// TestPolicyQuality prints the table of the four policies and guards the two goals against least-loaded: cost at the
-// latency target at most 0.7 of it, tokens prefilled again at most 0.3 of it.
-func TestPolicyQuality(t *testing.T) {
+var printTable = flag.Bool("table", false, "print the table of all policies")
+
+// TestPolicyGoals guards the goals against least-loaded: cost at the latency target at most 0.7 of it, tokens
+// prefilled again at most 0.3 of it, and a 95th percentile within the target at full load.
+func TestPolicyGoals(t *testing.T) {
+	for _, load := range []float64{0.5, 0.8, 1} {
+		ours, base := simulate(longBriefs, CostAware, 0, load, 11), simulate(longBriefs, LeastLoaded, 0, load, 11)
+		if ours.p95 > simTarget {
+			t.Errorf("load %.1f: p95 of the first token is %.3f s", load, ours.p95)
+		}
+		if ours.prefilledAgain > 0.3*base.prefilledAgain {
+			t.Errorf("load %.1f: prefilled again %.3f, least-loaded %.3f", load, ours.prefilledAgain, base.prefilledAgain)
+		}
+	}
+	// Least-loaded misses the target at 40% already; ours holds it at 100%, where the fleet costs 0.4 per token of that.
+	if base := simulate(longBriefs, LeastLoaded, 0, 0.7, 11); base.p95 <= simTarget {
+		t.Errorf("least-loaded holds the target at 70%%: the cost ratio is above 0.7")
+	}
+	ours, base := simulate(shortQuotes, CostAware, 0, 0.5, 11), simulate(shortQuotes, LeastLoaded, 0, 0.5, 11)
+	if ours.p95 > simTarget || ours.pricePerMega > 0.7*base.pricePerMega {
+		t.Errorf("short quotes: p95 %.3f s, price %.3f, least-loaded %.3f", ours.p95, ours.pricePerMega, base.pricePerMega)
+	}
+}
+
+// TestPolicyTable prints the comparison of the four policies with -table.
+func TestPolicyTable(t *testing.T) {
+	if !*printTable {
+		t.Skip("prints figures only: run with -args -table")
+	}
 	policies := []struct {
 		name   string
 		policy Policy
 		sample int
 	}{{"round-robin", RoundRobin, 0}, {"least-loaded", LeastLoaded, 0}, {"prefix-only", PrefixOnly, 0},
-		{"cost-aware", CostAware, 16}, {"cost-aware scan", CostAware, -1}}
+		{"cost-aware", CostAware, 0}, {"cost-aware scan", CostAware, -1}}
 	for _, work := range []workload{longBriefs, shortQuotes} {
-		t.Logf("%s: capacity %.0f requests/s", work.name, work.capacity())
-		t.Logf("%-16s %5s %10s %14s %14s %14s", "policy", "load", "p95 first", "paid/Mtok good", "prefilled Mtok", "again Mtok")
+		fmt.Printf("%s: capacity %.0f requests/s\n", work.name, work.capacity())
+		fmt.Printf("%-16s %5s %9s %11s %14s %14s\n", "policy", "load", "p95 first", "paid/Mtok", "prefilled Mtok", "again Mtok")
 		for _, load := range []float64{0.5, 0.8, 1.0} {
 			for _, p := range policies {
 				r := simulate(work, p.policy, p.sample, load, 11)
-				t.Logf("%-16s %4.0f%% %8.0fms %14.3f %14.3f %14.3f", p.name, load*100, r.p95*1000, r.pricePerMega, r.prefilled, r.prefilledAgain)
+				fmt.Printf("%-16s %4.0f%% %7.0fms %11.3f %14.3f %14.3f\n", p.name, load*100, r.p95*1000, r.pricePerMega, r.prefilled, r.prefilledAgain)
 			}
 		}
 		for _, p := range policies {
 			price, load := priceAtTarget(work, p.policy, p.sample)
-			t.Logf("%-16s holds the target up to %3.0f%%: fleet price %.3f per million tokens", p.name, load*100, price)
+			fmt.Printf("%-16s holds the target up to %3.0f%%: fleet price %.3f per million tokens\n", p.name, load*100, price)
 		}
 	}
 }
