--- /dev/null
+++ b/internal/adapter/wiring/wiring.go
@@ -0,0 +1,37 @@
+// Package wiring connects an entry node to the platform and the backend servers through the HTTP adapters. Another
+// adapter is put in here and nowhere else.
+package wiring
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenlug/pollenlug/internal/adapter/enginehttp"
+	"github.com/pollenlug/pollenlug/internal/adapter/platformhttp"
+	"github.com/pollenlug/pollenlug/internal/adapter/servicehttp"
+	"github.com/pollenlug/pollenlug/internal/node"
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/internal/transport"
+)
+
+// NewNode builds an entry node that uses the HTTP adapters.
+func NewNode(settings *pb.NodeSettings, credentials *transport.Credentials, log *logrus.Entry) (*node.Node, error) {
+	client, err := platformhttp.New(platformhttp.Options{URL: settings.PlatformUrl})
+	if err != nil {
+		return nil, err
+	}
+	return node.New(node.Options{
+		Settings: settings,
+		Platform: node.Platform{
+			Table:     client.Table(),
+			Objects:   client.Objects(),
+			Folder:    client.Folder(),
+			Cloud:     client.Cloud(),
+			Instances: client.Instances(),
+			Weights:   client.Weights(),
+		},
+		Credentials: credentials,
+		Engine:      enginehttp.New(enginehttp.Options{}),
+		Service:     servicehttp.New(servicehttp.Options{}),
+		Log:         log,
+	})
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -11,9 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/pollenlug/pollenlug/internal/adapter/enginehttp"
-	"github.com/pollenlug/pollenlug/internal/adapter/platformhttp"
-	"github.com/pollenlug/pollenlug/internal/adapter/servicehttp"
+	"github.com/pollenlug/pollenlug/internal/adapter/wiring"
 	"github.com/pollenlug/pollenlug/internal/devcluster"
 	"github.com/pollenlug/pollenlug/internal/node"
 	"github.com/pollenlug/pollenlug/internal/settings"
@@ -39,15 +37,7 @@
 		if err != nil {
 			return fail(stderr, err)
 		}
-		client := platformhttp.New(platformhttp.Options{BaseURL: s.PlatformUrl})
-		n, err := node.New(node.Options{
-			Settings:    s,
-			Platform:    node.PlatformOf(client),
-			Credentials: credentials,
-			Engine:      enginehttp.New(enginehttp.Options{}),
-			Service:     servicehttp.New(servicehttp.Options{}),
-			Log:         log,
-		})
+		n, err := wiring.NewNode(s, credentials, log)
 		if err != nil {
 			return fail(stderr, err)
 		}
--- /dev/null
+++ b/internal/devcluster/faults.go
@@ -0,0 +1,229 @@
+package devcluster
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/standin/engine"
+	"github.com/pollenlug/pollenlug/internal/standin/platform"
+	"github.com/pollenlug/pollenlug/internal/standin/service"
+	"github.com/pollenlug/pollenlug/internal/standin/table"
+)
+
+// maxFaultBody bounds a request of the fault API, in bytes.
+const maxFaultBody = 1 << 20
+
+// FaultRequest is the body of every call of the fault API; each call reads the fields it needs.
+type FaultRequest struct {
+	// Server names a backend server; empty means all.
+	Server string `json:"server,omitempty"`
+	// Node names an entry node of this process.
+	Node string `json:"node,omitempty"`
+	// Instances and FailureDomain choose what is reclaimed.
+	Instances       []string `json:"instances,omitempty"`
+	FailureDomain   string   `json:"failure_domain,omitempty"`
+	ReclaimableOnly bool     `json:"reclaimable_only,omitempty"`
+	NoticeMs        int      `json:"notice_ms,omitempty"`
+	// Refuse turns refused starts on or off.
+	Refuse bool `json:"refuse,omitempty"`
+	// Text crashes the engines that run a prompt which contains it.
+	Text string `json:"text,omitempty"`
+	// Store faults: outage is none, refusing or hanging; shares are in percent.
+	Outage       string `json:"outage,omitempty"`
+	LostPercent  int    `json:"lost_percent,omitempty"`
+	LatePercent  int    `json:"late_percent,omitempty"`
+	LateMs       int    `json:"late_ms,omitempty"`
+	StalePercent int    `json:"stale_percent,omitempty"`
+	StaleMs      int    `json:"stale_ms,omitempty"`
+	SlowMs       int    `json:"slow_ms,omitempty"`
+	// DropPercent makes services close connections after a call has run.
+	DropPercent int `json:"drop_percent,omitempty"`
+	// File and Content edit the operators' folder; empty content removes the file.
+	File    string `json:"file,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Stats is what the stand-ins have counted.
+type Stats struct {
+	Engines map[string]engine.Stats `json:"engines"`
+	// Runs counts the runs of each idempotency key, by backend server group.
+	Runs map[string]map[string]int `json:"runs"`
+	// CostMicros is the cost of all instances since their start, in millionths of the currency unit.
+	CostMicros uint64 `json:"cost_micros"`
+}
+
+// faultAPI answers POST /faults/{name}, POST /folder and GET /stats.
+func (s *Standins) faultAPI() http.Handler {
+	mux := http.NewServeMux()
+	for name, apply := range map[string]func(FaultRequest) any{
+		"reclaim":       s.faultReclaim,
+		"crash":         s.eachServer(func(b backendServer) { b.Crash() }),
+		"restart":       s.eachServer(func(b backendServer) { _ = b.Restart() }),
+		"freeze":        s.eachServer(func(b backendServer) { b.Freeze() }),
+		"unfreeze":      s.eachServer(func(b backendServer) { b.Unfreeze() }),
+		"silence":       s.eachServer(func(b backendServer) { b.Net().SilenceOpen() }),
+		"poison":        s.faultPoison,
+		"store":         s.faultStore,
+		"drop-answers":  s.faultDrop,
+		"refuse-starts": s.faultRefuse,
+		"kill-node":     s.faultKillNode,
+	} {
+		mux.HandleFunc("POST /faults/"+name, handleFault(apply))
+	}
+	mux.HandleFunc("POST /folder", handleFault(s.editFolder))
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Stats()) })
+	return mux
+}
+
+func handleFault(apply func(FaultRequest) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req FaultRequest
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultBody))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&req); err != nil {
+			writeJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+			return
+		}
+		writeJSON(w, http.StatusOK, apply(req))
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+type affected struct {
+	Affected []string `json:"affected"`
+}
+
+func (s *Standins) eachServer(apply func(backendServer)) func(FaultRequest) any {
+	return func(req FaultRequest) any {
+		var out affected
+		for name, server := range s.chosen(req.Server) {
+			apply(server)
+			out.Affected = append(out.Affected, name)
+		}
+		return out
+	}
+}
+
+// chosen returns the named backend server, or all.
+func (s *Standins) chosen(name string) map[string]backendServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]backendServer{}
+	for key, server := range s.servers {
+		if name == "" || name == key {
+			out[key] = server
+		}
+	}
+	return out
+}
+
+func (s *Standins) faultReclaim(req FaultRequest) any {
+	notice := time.Duration(req.NoticeMs) * time.Millisecond
+	if req.FailureDomain != "" {
+		return affected{s.Platform.Cloud.ReclaimDomain(req.FailureDomain, notice, req.ReclaimableOnly)}
+	}
+	return affected{s.Platform.Cloud.Reclaim(notice, req.Instances...)}
+}
+
+func (s *Standins) faultPoison(req FaultRequest) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		e.SetPoison(req.Text)
+	}
+	return affected{}
+}
+
+func (s *Standins) faultStore(req FaultRequest) any {
+	s.Platform.HealStore()
+	switch req.Outage {
+	case "refusing":
+		s.Platform.StoreOutage(table.Refusing)
+	case "hanging":
+		s.Platform.StoreOutage(table.Hanging)
+	}
+	s.Platform.LostAnswers(req.LostPercent, false)
+	s.Platform.LateWrites(req.LatePercent, time.Duration(req.LateMs)*time.Millisecond)
+	s.Platform.StaleReads(req.StalePercent, time.Duration(req.StaleMs)*time.Millisecond)
+	if req.SlowMs > 0 {
+		slow := time.Duration(req.SlowMs) * time.Millisecond
+		s.Platform.StoreSlow(slow/2, slow)
+	}
+	return affected{}
+}
+
+func (s *Standins) faultDrop(req FaultRequest) any {
+	const percent = 100.0
+	for _, server := range s.chosen(req.Server) {
+		if service, ok := server.(*service.Service); ok {
+			service.SetDrops(0, float64(req.DropPercent)/percent)
+		}
+	}
+	return affected{}
+}
+
+func (s *Standins) faultRefuse(req FaultRequest) any {
+	s.Platform.Cloud.RefuseStarts(req.FailureDomain, "", req.Refuse)
+	return affected{}
+}
+
+func (s *Standins) faultKillNode(req FaultRequest) any {
+	if s.killNode == nil || !s.killNode(req.Node) {
+		return affected{}
+	}
+	return affected{[]string{req.Node}}
+}
+
+// editFolder edits the in-memory folder; a folder on disk is edited there.
+func (s *Standins) editFolder(req FaultRequest) any {
+	folder, ok := s.Platform.Folder.(*platform.MemFolder)
+	if !ok || strings.TrimSpace(req.File) == "" {
+		return affected{}
+	}
+	var data []byte
+	if req.Content != "" {
+		data = []byte(req.Content)
+	}
+	return map[string]uint64{"revision": folder.EditFile(req.File, data)}
+}
+
+// Stats returns what the stand-ins have counted.
+func (s *Standins) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Stats{Engines: map[string]engine.Stats{}, Runs: map[string]map[string]int{}}
+	for name, e := range s.engines {
+		out.Engines[name] = e.Stats()
+	}
+	for group, book := range s.books {
+		runs := map[string]int{}
+		for _, run := range book.Runs() {
+			if run.Key != "" {
+				runs[run.Key]++
+			}
+		}
+		out.Runs[group] = runs
+	}
+	out.CostMicros = s.cost()
+	return out
+}
+
+// cost sums price times running time; s.mu is held.
+func (s *Standins) cost() uint64 {
+	var sum float64
+	for name, settings := range s.settings {
+		end := time.Now()
+		if stopped, ok := s.stopped[name]; ok {
+			end = stopped
+		}
+		sum += float64(settings.PricePerHourMicros) * end.Sub(s.started[name]).Hours()
+	}
+	return uint64(sum)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,391 @@
+// Package node builds an entry node from its parts and runs it.
+//
+// # Lifecycle
+//
+// A node joins by asking the instance list and other nodes, takes the configuration in force from them, and listens for
+// callers from the start: until it has a configuration it refuses them with a code. On SIGTERM or a reclaim notice it
+// announces that it leaves, sends new callers to other nodes, finishes or hands over what it has and exits.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenlug/pollenlug/internal/dispatch"
+	"github.com/pollenlug/pollenlug/internal/gateway"
+	"github.com/pollenlug/pollenlug/internal/generate"
+	"github.com/pollenlug/pollenlug/internal/metrics"
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/internal/replica"
+	"github.com/pollenlug/pollenlug/internal/servers"
+	"github.com/pollenlug/pollenlug/internal/transport"
+	"github.com/pollenlug/pollenlug/pkg/backend"
+	"github.com/pollenlug/pollenlug/pkg/claim"
+	"github.com/pollenlug/pollenlug/pkg/config"
+	"github.com/pollenlug/pollenlug/pkg/configstore"
+	"github.com/pollenlug/pollenlug/pkg/limit"
+	"github.com/pollenlug/pollenlug/pkg/platform"
+	"github.com/pollenlug/pollenlug/pkg/route"
+	"github.com/pollenlug/pollenlug/pkg/stream"
+)
+
+// Limits of the HTTP server towards callers, where the settings leave them open.
+const (
+	defaultMaxHeaderBytes = 32 << 10
+	defaultHeaderTimeout  = 5 * time.Second
+	idleTimeout           = 2 * time.Minute
+	bytesPerKiB           = 1024
+	// expireInterval is how often old responses are dropped.
+	expireInterval = 10 * time.Second
+	// shutdownTimeout bounds the last step of an exit.
+	shutdownTimeout = 2 * time.Second
+)
+
+// Platform are the interfaces of the platform.
+type Platform struct {
+	Table     platform.Table
+	Objects   platform.Objects
+	Folder    platform.Folder
+	Cloud     platform.Cloud
+	Instances platform.InstanceList
+	Weights   platform.Weights
+}
+
+// Options are what a node is built from.
+type Options struct {
+	Settings    *pb.NodeSettings
+	Platform    Platform
+	Credentials *transport.Credentials
+	Engine      backend.Engine
+	Service     backend.Service
+	Log         *logrus.Entry
+}
+
+// Node is one entry node.
+type Node struct {
+	opts    Options
+	log     *logrus.Entry
+	metrics *metrics.Set
+
+	transport  *transport.Transport
+	cluster    *cluster
+	config     *configstore.Store
+	router     *route.Router
+	tracker    *servers.Tracker
+	loads      *loadPoller
+	logs       *stream.Store
+	replicator *replica.Replicator
+	runner     *generate.Runner
+	claims     *claim.Claims
+	dispatcher *dispatch.Dispatcher
+	admission  *limit.Admission
+	guard      *guard
+	server     *http.Server
+
+	leaving      atomic.Bool
+	drained      chan struct{}
+	openRequests atomic.Int64
+	// reclaimed receives the deadline of a reclaim notice for this node.
+	reclaimed chan time.Time
+	killed    chan struct{}
+	killOnce  sync.Once
+}
+
+// New builds a node. Nothing runs until Run.
+func New(opts Options) (*Node, error) {
+	n := &Node{
+		opts:      opts,
+		log:       opts.Log,
+		metrics:   metrics.NewSet(),
+		logs:      stream.NewStore(),
+		drained:   make(chan struct{}),
+		reclaimed: make(chan time.Time, 1),
+		killed:    make(chan struct{}),
+	}
+	var err error
+	n.transport, err = transport.New(transport.Options{
+		Node:        opts.Settings.Node,
+		Region:      opts.Settings.Region,
+		Addr:        opts.Settings.NodeAddr,
+		Credentials: opts.Credentials,
+		Log:         opts.Log,
+	})
+	if err != nil {
+		return nil, merry.Prepend(err, "node_addr")
+	}
+	n.build()
+	n.transport.SetHandler(n.handle)
+	return n, nil
+}
+
+// build connects the parts.
+func (n *Node) build() {
+	s, p := n.opts.Settings, n.opts.Platform
+	n.cluster = newCluster(s, n.transport, p.Instances, n.log)
+	n.config = configstore.New(configstore.Options{
+		Table:   p.Table,
+		Objects: p.Objects,
+		Folder:  p.Folder,
+		Peers:   n.cluster,
+		Node:    s.Node,
+		Leader:  n.cluster.readsFolder,
+		Logger:  keyvalLogger{n.log},
+	})
+	n.router = route.New(route.Options{
+		Policy:        route.Policy(s.RoutingPolicy),
+		Region:        s.Region,
+		FailureDomain: s.FailureDomain,
+	})
+	n.guard = newGuard(n.cluster, n.metrics)
+	n.admission = newAdmission(s.Node, n.cluster)
+	n.loads = newLoadPoller(n.opts.Engine, n.opts.Service, n.router)
+	n.buildResponses()
+	n.buildServices()
+	n.tracker = servers.New(servers.Options{
+		Instances:   p.Instances,
+		Cloud:       p.Cloud,
+		Router:      n.router,
+		Config:      n.Config,
+		Load:        n.loads.get,
+		Leaving:     n.serverLeaving,
+		Self:        s.Node,
+		SelfLeaving: func(deadline time.Time) { n.reclaimed <- deadline },
+		Log:         n.log,
+	})
+	n.config.Watch(n.applyConfig)
+	n.server = n.newServer()
+}
+
+func (n *Node) buildResponses() {
+	n.runner = generate.NewRunner(generate.Options{
+		Router:   n.router,
+		Engine:   n.opts.Engine,
+		Budget:   n.guard,
+		Strikes:  n.guard,
+		Progress: progress{n},
+		Config:   n.Config,
+		Metrics:  n.metrics,
+		Log:      n.log,
+	})
+	n.replicator = replica.New(replica.Options{
+		Self:      n.cluster.self,
+		Live:      n.cluster.live,
+		Member:    n.cluster.member,
+		Transport: n.transport,
+		Logs:      n.logs,
+		Run:       func(log *stream.Log) error { return n.runner.Run(log, func() {}) },
+		Metrics:   n.metrics,
+		Log:       n.log,
+	})
+}
+
+// progress tells the replicator, which is built after the runner.
+type progress struct{ node *Node }
+
+// Changed implements generate.Progress.
+func (p progress) Changed(log *stream.Log) { p.node.replicator.Changed(log) }
+
+func (n *Node) buildServices() {
+	n.dispatcher = dispatch.New(dispatch.Options{
+		Router:  n.router,
+		Service: n.opts.Service,
+		Budget:  n.guard,
+		Config:  n.Config,
+		Metrics: n.metrics,
+		Log:     n.log,
+	})
+	n.claims = claim.New(claim.Options{
+		Table:    n.opts.Platform.Table,
+		Node:     n.opts.Settings.Node,
+		Peers:    n.cluster,
+		Outcomes: n.dispatcher,
+	})
+	n.dispatcher.UseClaims(n.claims)
+}
+
+func (n *Node) newServer() *http.Server {
+	edge := n.opts.Settings.Edge
+	handler := gateway.New(gateway.Options{
+		Node: n,
+		Responses: &responses{
+			node:       n.opts.Settings.Node,
+			leaving:    n.leaving.Load,
+			strikes:    n.guard,
+			admission:  n.admission,
+			logs:       n.logs,
+			replicator: n.replicator,
+			runner:     n.runner,
+		},
+		Services: n.dispatcher,
+		Metrics:  n.metrics,
+		Log:      n.log,
+	})
+	out := &http.Server{
+		Handler:           n.countOpen(handler),
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		MaxHeaderBytes:    defaultMaxHeaderBytes,
+		IdleTimeout:       idleTimeout,
+	}
+	if edge.GetHeaderTimeoutMs() > 0 {
+		out.ReadHeaderTimeout = time.Duration(edge.HeaderTimeoutMs) * time.Millisecond
+	}
+	if edge.GetMaxHeaderKib() > 0 {
+		out.MaxHeaderBytes = int(edge.MaxHeaderKib) * bytesPerKiB
+	}
+	return out
+}
+
+// countOpen counts open requests; a drain waits for them.
+func (n *Node) countOpen(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.openRequests.Add(1)
+		defer n.openRequests.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Run serves until ctx ends or the instance is reclaimed, then drains and returns.
+func (n *Node) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", n.opts.Settings.CallerAddr)
+	if err != nil {
+		_ = n.transport.Close()
+		return merry.Prepend(err, "caller_addr")
+	}
+	background, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	n.start(background, &wg)
+	failed := make(chan error, 1)
+	go func() { failed <- n.serve(listener) }()
+	n.log.WithField("addr", n.opts.Settings.CallerAddr).Info("node listens; waits for configuration and members")
+	err = n.awaitEnd(ctx, failed)
+	stop()
+	wg.Wait()
+	_ = n.transport.Close()
+	return err
+}
+
+// awaitEnd returns after the node has drained, was killed or has failed.
+func (n *Node) awaitEnd(ctx context.Context, failed <-chan error) error {
+	var deadline time.Time
+	select {
+	case err := <-failed:
+		return err
+	case <-n.killed:
+		return nil
+	case <-ctx.Done():
+		deadline = n.drainLimit()
+	case deadline = <-n.reclaimed:
+	}
+	go n.Drain(context.Background(), deadline)
+	select {
+	case <-n.drained:
+	case <-n.killed:
+		return nil
+	}
+	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = n.server.Shutdown(shutdown)
+	return n.server.Close()
+}
+
+// drainLimit returns when a drain must end by the settings; zero means never.
+func (n *Node) drainLimit() time.Time {
+	if n.opts.Settings.DrainLimitSeconds == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(n.opts.Settings.DrainLimitSeconds) * time.Second)
+}
+
+func (n *Node) serve(listener net.Listener) error {
+	var err error
+	if files := n.opts.Settings.CallerTls; files != nil {
+		err = n.server.ServeTLS(listener, files.Certificate, files.Key)
+	} else {
+		err = n.server.Serve(listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// start runs the background work.
+func (n *Node) start(ctx context.Context, wg *sync.WaitGroup) {
+	n.cluster.start(ctx, wg)
+	for _, run := range []func(context.Context){
+		n.config.Run,
+		n.tracker.Run,
+		n.replicator.Run,
+		func(ctx context.Context) { n.loads.run(ctx, n.tracker.List) },
+		n.expire,
+	} {
+		wg.Go(func() { run(ctx) })
+	}
+}
+
+// expire drops old responses.
+func (n *Node) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, expireInterval)
+		if index := n.Config(); index != nil {
+			n.logs.Expire(time.Now(), index.Policy().ResponseRetention)
+		}
+	}
+}
+
+// applyConfig puts a configuration into force on this node.
+func (n *Node) applyConfig(current *configstore.InForce) {
+	policy := current.Index.Policy()
+	n.router.SetTargets(policy.FirstToken, policy.BetweenTokens, policy.RecomputeWeight)
+	n.guard.setPolicy(policy)
+	setWorkspaces(n.admission, current.Index)
+	n.cluster.announceConfig(current.Version, current.Digest)
+	n.log.WithFields(logrus.Fields{"version": current.Version, "digest": current.Digest}).Info("configuration is in force")
+}
+
+// serverLeaving moves the responses that run on a server which is to leave.
+func (n *Node) serverLeaving(server string, deadline time.Time) {
+	n.guard.expectLoss(server)
+	go n.runner.ServerLeaving(context.Background(), server, deadline)
+}
+
+// Kill stops the node at once, as when its machine is switched off.
+func (n *Node) Kill() {
+	n.killOnce.Do(func() {
+		close(n.killed)
+		_ = n.server.Close()
+		_ = n.transport.Close()
+	})
+}
+
+// Config returns the configuration in force, or nil.
+func (n *Node) Config() *config.Index {
+	if current := n.config.Current(); current != nil {
+		return current.Index
+	}
+	return nil
+}
+
+// handle answers messages of other nodes.
+func (n *Node) handle(ctx context.Context, from string, env *pb.Envelope) (*pb.Envelope, error) {
+	switch body := env.Body.(type) {
+	case *pb.Envelope_ConfigFetch:
+		return &pb.Envelope{Body: &pb.Envelope_ConfigState{ConfigState: n.config.Serve(body.ConfigFetch)}}, nil
+	case *pb.Envelope_AttemptQuery:
+		q := body.AttemptQuery
+		state := n.claims.Query(q.Workspace, q.Key, q.Attempt)
+		return &pb.Envelope{Body: &pb.Envelope_AttemptState{AttemptState: state}}, nil
+	}
+	if answer := n.replicator.Handle(ctx, from, env); answer != nil {
+		return answer, nil
+	}
+	return n.cluster.handle(ctx, from, env)
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/pollenlug/pollenlug/internal/gateway"
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/configstore"
+	"github.com/pollenlug/pollenlug/pkg/membership"
+)
+
+type status struct {
+	Node          string             `json:"node"`
+	Region        string             `json:"region"`
+	FailureDomain string             `json:"failure_domain"`
+	State         string             `json:"state"`
+	Waiting       []string           `json:"waiting_for,omitempty"`
+	Config        configstore.Status `json:"config"`
+	Members       []memberStatus     `json:"members"`
+	Servers       []serverStatus     `json:"servers"`
+	Responses     responseStatus     `json:"responses"`
+	Claims        claimStatus        `json:"non_repeatable_calls"`
+	Limits        any                `json:"limits"`
+	Quarantines   any                `json:"quarantines"`
+}
+
+type memberStatus struct {
+	Node          string `json:"node"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	State         string `json:"state"`
+	Load          uint32 `json:"load"`
+}
+
+type serverStatus struct {
+	Server        string `json:"server"`
+	BackendGroup  string `json:"backend_group"`
+	FailureDomain string `json:"failure_domain"`
+	State         string `json:"state"`
+	Reclaimable   bool   `json:"reclaimable"`
+	Running       uint32 `json:"running"`
+	Waiting       uint32 `json:"waiting"`
+	CachePercent  uint32 `json:"cache_percent"`
+	LoadAgeMs     int64  `json:"load_age_ms"`
+}
+
+type responseStatus struct {
+	Running      int   `json:"running"`
+	Kept         int   `json:"kept"`
+	OpenRequests int64 `json:"open_requests"`
+}
+
+type claimStatus struct {
+	Open       int `json:"open"`
+	Background int `json:"background_writes"`
+}
+
+// Status implements gateway.Node.
+func (n *Node) Status() any {
+	s := n.opts.Settings
+	claims := n.claims.Stats()
+	return status{
+		Node:          s.Node,
+		Region:        s.Region,
+		FailureDomain: s.FailureDomain,
+		State:         n.state(),
+		Waiting:       n.waitingFor(),
+		Config:        n.config.Status(),
+		Members:       n.memberStatus(),
+		Servers:       n.serverStatus(),
+		Responses:     responseStatus{n.runner.Running(), n.logs.Len(), n.openRequests.Load()},
+		Claims:        claimStatus{claims.Open, claims.Background},
+		Limits:        n.admission.Status(),
+		Quarantines:   n.guard.status(),
+	}
+}
+
+func (n *Node) state() string {
+	switch {
+	case n.Leaving():
+		return "leaving"
+	case n.Ready():
+		return "ready"
+	default:
+		return "starting"
+	}
+}
+
+// waitingFor names what a node needs before it is ready.
+func (n *Node) waitingFor() []string {
+	var out []string
+	if n.Config() == nil {
+		out = append(out, "configuration")
+	}
+	if len(n.tracker.List()) == 0 {
+		out = append(out, "backend servers")
+	}
+	return out
+}
+
+func (n *Node) memberStatus() []memberStatus {
+	var out []memberStatus
+	for _, m := range n.cluster.members() {
+		out = append(out, memberStatus{m.Node, m.Region, m.FailureDomain, m.Status.String(), m.Load})
+	}
+	return out
+}
+
+func (n *Node) serverStatus() []serverStatus {
+	var out []serverStatus
+	for _, instance := range n.tracker.List() {
+		line := serverStatus{
+			Server:        instance.ID,
+			BackendGroup:  instance.BackendGroup,
+			FailureDomain: instance.FailureDomain,
+			State:         string(instance.State),
+			Reclaimable:   instance.Reclaimable,
+			LoadAgeMs:     -1,
+		}
+		if load, at, ok := n.loads.get(instance.ID); ok {
+			line.Running, line.Waiting, line.CachePercent = load.Running, load.Waiting, load.CachePercent
+			line.LoadAgeMs = time.Since(at).Milliseconds()
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+// Leaving implements gateway.Node.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Ready implements gateway.Node.
+func (n *Node) Ready() bool { return !n.Leaving() && len(n.waitingFor()) == 0 }
+
+// Entries implements gateway.Node. Nodes with about the same load are ordered by the caller's address, so that
+// callers spread instead of all choosing the same node.
+func (n *Node) Entries(caller string) []gateway.Entry {
+	live := slices.DeleteFunc(slices.Clone(n.cluster.live()), func(m membership.Member) bool {
+		return m.Status != pb.MemberState_ALIVE || (m.Node == n.opts.Settings.Node && n.Leaving())
+	})
+	ordered := membership.Rendezvous(caller, live, len(live))
+	slices.SortStableFunc(ordered, func(a, b membership.Member) int { return cmp.Compare(loadClass(a), loadClass(b)) })
+	out := make([]gateway.Entry, 0, len(ordered))
+	for _, m := range ordered {
+		out = append(out, gateway.Entry{Addr: m.CallerAddr, Region: m.Region, FailureDomain: m.FailureDomain, Load: m.Load})
+	}
+	return out
+}
+
+// loadClassSize is the difference in open requests that is worth sending callers elsewhere.
+const loadClassSize = 64
+
+func loadClass(m membership.Member) uint32 { return m.Load / loadClassSize }
+
+// AwaitReady returns when the node is ready and sees the number of live nodes.
+func (n *Node) AwaitReady(ctx context.Context, nodes int) error {
+	for !n.Ready() || len(n.cluster.live()) < nodes {
+		if ctx.Err() != nil {
+			return merry.Errorf("not ready: %d live nodes, waits for %v", len(n.cluster.live()), n.waitingFor())
+		}
+		sleep(ctx, drainPoll)
+	}
+	return nil
+}
