--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -115,11 +115,20 @@
 				client := New(Options{HTTP: httpclient.Options{Dial: network.Dial}})
 				defer client.Close()
 				tokens := 0
+				start := time.Now()
 				err := client.Generate(t.Context(), addr, backend.GenerateRequest{ID: "1"}, func(backend.Chunk) error {
 					tokens++
 					return nil
 				})
 				assertClass(t, err, c.want)
+				switch {
+				case c.want != backend.ErrSilent:
+					assert.Equal(t, time.Since(start), time.Duration(0))
+				case c.tokens == 0:
+					assert.Equal(t, time.Since(start), DefaultFirstSilence)
+				default:
+					assert.Equal(t, time.Since(start), DefaultSilence)
+				}
 				assert.Equal(t, tokens, c.tokens)
 			})
 		})
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -31,6 +31,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/internal/standin/netfault"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 )
@@ -92,6 +93,21 @@
 	Listen netfault.ListenFunc
 }
 
+// FromSettings returns the options for an engine of a stand-in process.
+func FromSettings(server *pb.StandinServer, seed uint64) Options {
+	return Options{
+		Name:                   server.GetName(),
+		Models:                 server.GetModels(),
+		Seed:                   seed,
+		StepBase:               time.Duration(server.GetStepBaseUs()) * time.Microsecond,
+		StepPerSequence:        time.Duration(server.GetStepPerSequenceUs()) * time.Microsecond,
+		PrefillTokensPerSecond: int(server.GetPrefillTokensPerSecond()),
+		CacheTokens:            int(server.GetCacheTokens()),
+		MaxBatch:               int(server.GetMaxBatch()),
+		ChecksFencing:          server.GetChecksFencing(),
+	}
+}
+
 func (o *Options) setDefaults() {
 	setDefault(&o.StepBase, DefaultStepBase)
 	setDefault(&o.StepPerSequence, DefaultStepPerSequence)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/internal/standin/netfault"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 )
@@ -45,6 +46,11 @@
 	Listen netfault.ListenFunc
 }
 
+// FromSettings returns the options for a service of a stand-in process. The seed also decides the faults.
+func FromSettings(server *pb.StandinServer, seed uint64) Options {
+	return Options{Name: server.GetName(), Seed: seed, MaxRunning: int(server.GetMaxBatch())}
+}
+
 // Run is one run of a call.
 type Run struct {
 	Number uint64 `json:"number"` // order of all runs in the book
