--- a/internal/adapter/enginehttp/bench_test.go
+++ b/internal/adapter/enginehttp/bench_test.go
@@ -44,34 +44,33 @@
 	}
 }
 
+// BenchmarkReadLoopback is the floor for BenchmarkStreamLoopback: the same server, and a client that only reads.
+func BenchmarkReadLoopback(b *testing.B) {
+	l := serveTokens(b)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(b, err)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(b, err)
+	buf := make([]byte, lineBufferBytes)
+	b.ReportAllocs()
+	before := cpuTime(b)
+	for err == nil {
+		_, err = c.Read(buf)
+	}
+	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/token")
+}
+
 // BenchmarkStreamLoopback measures one stream over loopback TCP per token, one write per token: the time, and the CPU
 // time of the whole process, that is of the client and of a minimal server.
 func BenchmarkStreamLoopback(b *testing.B) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
+	l := serveTokens(b)
 	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		req, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		_, _ = io.WriteString(c, head)
-		token := []byte(piece(`{"offset":1234,"tokens":[" token"]}` + "\n"))
-		for range b.N {
-			_, _ = c.Write(token)
-		}
-		_, _ = io.WriteString(c, piece(`{"offset":1,"finish_reason":"stop"}`+"\n")+"0\r\n\r\n")
-	}()
 	client := New(Options{})
 	defer client.Close()
 	b.ReportAllocs()
 	before := cpuTime(b)
-	err = client.Generate(context.Background(), l.Addr().String(), backend.GenerateRequest{ID: "1"}, func(backend.Chunk) error { return nil })
+	err := client.Generate(context.Background(), l.Addr().String(), backend.GenerateRequest{ID: "1"}, func(backend.Chunk) error { return nil })
 	assert.NilError(b, err)
 	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/token")
 }
@@ -109,3 +108,28 @@
 	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// serveTokens answers the first request with b.N tokens, one write per token.
+func serveTokens(b *testing.B) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, head)
+		token := []byte(piece(`{"offset":1234,"tokens":[" token"]}` + "\n"))
+		for range b.N {
+			_, _ = c.Write(token)
+		}
+		_, _ = io.WriteString(c, piece(`{"offset":1,"finish_reason":"stop"}`+"\n")+"0\r\n\r\n")
+		_ = c.Close()
+	}()
+	return l
+}
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -73,7 +73,12 @@
 	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := startSilence(c.options.FirstSilence, cancel)
-	defer silence.stop()
+	defer func() {
+		silence.stop()
+		if silence.fired.Load() {
+			c.http.Renew(addr)
+		}
+	}()
 	resp, err := c.send(streamCtx, addr, "/v1/generate", body)
 	if err != nil {
 		return silence.classify(err)
--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -162,8 +162,9 @@
 	})
 }
 
-// Guards against the reuse of a connection that went silent, while new connections work.
-func TestSilentConnectionIsNotReused(t *testing.T) {
+// Guards against the reuse of connections that went silent, while new connections work: neither the one of the failed
+// stream nor those that were idle at the time nor one that still served a stream may take another request.
+func TestSilentConnectionsAreNotReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := netfault.NewPipeNetwork()
 		e := engine.New(engine.Options{Models: []string{"m"}, Listen: network.Listen})
@@ -171,16 +172,61 @@
 		assert.NilError(t, e.Listen(addr))
 		client := New(Options{HTTP: httpclient.Options{Dial: network.Dial}})
 		defer client.Close()
-		req := backend.GenerateRequest{ID: "1", Model: "m", Prompt: "p", MaxTokens: 20}
+		run := func(maxTokens int) error {
+			req := backend.GenerateRequest{ID: "1", Model: "m", Prompt: "p", MaxTokens: uint32(maxTokens)}
+			return client.Generate(t.Context(), addr, req, func(backend.Chunk) error { return nil })
+		}
+		streams := make(chan error)
+		for _, maxTokens := range []int{5, 5, 5, 30} {
+			go func() { streams <- run(maxTokens) }()
+		}
+		for range 3 { // leave idle connections
+			assert.NilError(t, <-streams)
+		}
+		assert.Equal(t, e.Net().SilenceOpen(), 4)
+		assertClass(t, <-streams, backend.ErrSilent)
+		start := time.Now()
+		assert.NilError(t, run(5))
+		assert.Assert(t, time.Since(start) < time.Second)
+
+		// A deadline without an answer has the same effect.
+		assert.Equal(t, e.Net().SilenceOpen(), 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := client.Load(ctx, addr)
+		assertClass(t, err, backend.ErrInterrupted)
+		_, err = client.Load(t.Context(), addr)
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against a stream that is cut because another connection to the same server went silent.
+func TestRenewKeepsStreamsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := netfault.NewPipeNetwork()
+		e := engine.New(engine.Options{Models: []string{"m"}, Listen: network.Listen})
+		defer e.Close()
+		assert.NilError(t, e.Listen(addr))
+		dials := 0
+		client := New(Options{HTTP: httpclient.Options{Dial: func(ctx context.Context, n, a string) (net.Conn, error) {
+			dials++
+			return network.Dial(ctx, n, a)
+		}}})
+		defer client.Close()
 		tokens := 0
+		req := backend.GenerateRequest{ID: "1", Model: "m", Prompt: "p", MaxTokens: 40}
 		err := client.Generate(t.Context(), addr, req, func(backend.Chunk) error {
 			if tokens++; tokens == 10 {
-				assert.Equal(t, e.Net().SilenceOpen(), 1)
+				client.http.Renew(addr)
 			}
 			return nil
 		})
-		assertClass(t, err, backend.ErrSilent)
-		assert.NilError(t, client.Generate(t.Context(), addr, req, func(backend.Chunk) error { return nil }))
+		assert.NilError(t, err)
+		assert.Equal(t, tokens, 40)
+		synctest.Wait()
+		_, err = client.Load(t.Context(), addr)
+		assert.NilError(t, err)
+		assert.Equal(t, dials, 2, "a connection from before Renew was used again")
 	})
 }
 
--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -7,12 +7,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollenlug/pollenlug/pkg/backend"
@@ -40,6 +42,9 @@
 // Client sends requests.
 type Client struct {
 	transport *http.Transport
+
+	mu    sync.Mutex
+	conns map[string]map[*conn]struct{} // open connections by address
 }
 
 // New returns a client.
@@ -58,7 +63,8 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &Client{&http.Transport{
+	client := &Client{conns: map[string]map[*conn]struct{}{}}
+	client.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
 			defer cancel()
@@ -66,7 +72,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return client.track(c, addr), nil
 		},
 		Protocols:           protocols,
 		DisableCompression:  true,
@@ -74,7 +80,43 @@
 		IdleConnTimeout:     o.IdleTimeout,
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
-	}}
+	}
+	return client
+}
+
+func (c *Client) track(raw net.Conn, addr string) *conn {
+	wrapped := &conn{Conn: raw, client: c, addr: addr}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[addr] == nil {
+		c.conns[addr] = map[*conn]struct{}{}
+	}
+	c.conns[addr][wrapped] = struct{}{}
+	return wrapped
+}
+
+func (c *Client) untrack(wrapped *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.conns[wrapped.addr], wrapped)
+	if len(c.conns[wrapped.addr]) == 0 {
+		delete(c.conns, wrapped.addr)
+	}
+}
+
+// Renew makes all further requests to addr use connections that are opened from now on. Requests in progress keep
+// theirs. It is called when a connection went silent, since those opened before may be silent as well while new ones
+// work. Do calls it when a deadline passes after the request was sent.
+func (c *Client) Renew(addr string) {
+	c.mu.Lock()
+	open := make([]*conn, 0, len(c.conns[addr]))
+	for wrapped := range c.conns[addr] {
+		open = append(open, wrapped)
+	}
+	c.mu.Unlock()
+	for _, wrapped := range open {
+		wrapped.retire()
+	}
 }
 
 // Close closes the idle connections.
@@ -86,11 +128,15 @@
 // GetBody, and is not one of those that net/http takes for idempotent; see SendOnce.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	var used []use
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if wrapped, ok := info.Conn.(*conn); ok {
-			used = append(used, use{wrapped, wrapped.count()})
-		}
-	}}
+	var current atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			wrapped := info.Conn.(*conn)
+			used = append(used, use{wrapped, wrapped.take()})
+			current.Store(wrapped)
+		},
+		PutIdleConn: func(error) { current.Load().release() },
+	}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
 		return resp, nil
@@ -101,6 +147,9 @@
 			class = backend.ErrInterrupted
 		}
 	}
+	if class == backend.ErrInterrupted && errors.Is(err, context.DeadlineExceeded) {
+		c.Renew(req.URL.Host)
+	}
 	return nil, fmt.Errorf("%w: %w", class, err)
 }
 
@@ -113,10 +162,14 @@
 // conn counts writes, so that a failed request can be told from one that may have reached the server.
 type conn struct {
 	net.Conn
+	client *Client
+	addr   string
 
-	mu     sync.Mutex
-	writes uint64
-	sealed bool
+	mu      sync.Mutex
+	writes  uint64
+	sealed  bool
+	users   int  // can be 2 for a moment: the transport reports the release after it has offered the connection again
+	retired bool // to be closed after the request in progress
 }
 
 // Write implements net.Conn.
@@ -131,12 +184,45 @@
 	return c.Conn.Write(p)
 }
 
-func (c *conn) count() uint64 {
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.client.untrack(c)
+	return c.Conn.Close()
+}
+
+// take marks the connection as used by a request and returns the number of writes before it. The request fails before
+// its first byte when the connection is retired, and the transport takes another one.
+func (c *conn) take() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.users++
+	c.sealed = c.sealed || c.retired
 	return c.writes
 }
 
+// release ends the use by a request.
+func (c *conn) release() {
+	c.mu.Lock()
+	c.users--
+	unused := c.users == 0 && c.retired
+	c.mu.Unlock()
+	if unused {
+		_ = c.Close()
+	}
+}
+
+// retire closes the connection now or, while a request uses it, with the end of the request.
+func (c *conn) retire() {
+	c.mu.Lock()
+	c.retired = true
+	unused := c.users == 0
+	c.sealed = c.sealed || unused
+	c.mu.Unlock()
+	if unused {
+		_ = c.Close()
+	}
+}
+
 // seal prevents further writes. It returns false when a write has started since the count.
 func (c *conn) seal(writes uint64) bool {
 	c.mu.Lock()
