--- /dev/null
+++ b/internal/adapter/platformhttp/calls.go
@@ -0,0 +1,159 @@
+package platformhttp
+
+import (
+	"context"
+	"time"
+
+	api "github.com/pollenlug/pollenlug/internal/platformapi"
+	"github.com/pollenlug/pollenlug/pkg/platform"
+)
+
+// Table, Objects and the other views of a client implement one interface each. Table and Objects both have a
+// method Get, so one type cannot implement all.
+type (
+	// Table implements platform.Table.
+	Table struct{ c *Client }
+	// Objects implements platform.Objects.
+	Objects struct{ c *Client }
+	// Folder implements platform.Folder.
+	Folder struct{ c *Client }
+	// Cloud implements platform.Cloud.
+	Cloud struct{ c *Client }
+	// Instances implements platform.InstanceList.
+	Instances struct{ c *Client }
+	// Weights implements platform.Weights.
+	Weights struct{ c *Client }
+)
+
+var (
+	_ platform.Table        = Table{}
+	_ platform.Objects      = Objects{}
+	_ platform.Folder       = Folder{}
+	_ platform.Cloud        = Cloud{}
+	_ platform.InstanceList = Instances{}
+	_ platform.Weights      = Weights{}
+)
+
+// Table returns the table service.
+func (c *Client) Table() Table { return Table{c} }
+
+// Objects returns the object store.
+func (c *Client) Objects() Objects { return Objects{c} }
+
+// Folder returns the operators' folder.
+func (c *Client) Folder() Folder { return Folder{c} }
+
+// Cloud returns the cloud API.
+func (c *Client) Cloud() Cloud { return Cloud{c} }
+
+// Instances returns the instance list.
+func (c *Client) Instances() Instances { return Instances{c} }
+
+// Weights returns the weight store.
+func (c *Client) Weights() Weights { return Weights{c} }
+
+// Get implements platform.Table.
+func (t Table) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	var row api.Row
+	err := t.c.do(ctx, call{api.PathTableGet, reads, t.c.timeouts.Table}, api.RowKey{Table: table, Key: key}, &row)
+	return platform.Row(row), err
+}
+
+// List implements platform.Table.
+func (t Table) List(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+	var rows api.Rows
+	request := api.ListRequest{Table: table, Prefix: prefix, After: after, Limit: limit}
+	if err := t.c.do(ctx, call{api.PathTableList, reads, t.c.timeouts.Table}, request, &rows); err != nil {
+		return nil, err
+	}
+	out := make([]platform.Row, 0, len(rows.Rows))
+	for _, row := range rows.Rows {
+		out = append(out, platform.Row(row))
+	}
+	return out, nil
+}
+
+// Commit implements platform.Table. It is never retried: a repeat on the condition of the first write would
+// answer with a conflict where the first one succeeded.
+func (t Table) Commit(ctx context.Context, mutations []platform.Mutation) ([]uint64, error) {
+	var response api.CommitResponse
+	request := api.CommitRequest{Mutations: api.ToMutations(mutations)}
+	if err := t.c.do(ctx, call{api.PathTableCommit, once, t.c.timeouts.Table}, request, &response); err != nil {
+		return nil, err
+	}
+	if len(response.Versions) != len(mutations) {
+		return nil, platform.ErrOutcomeUnknown
+	}
+	return response.Versions, nil
+}
+
+// Put implements platform.Objects. Objects are immutable, so a repeat has no further effect.
+func (o Objects) Put(ctx context.Context, name string, data []byte) error {
+	request := api.Object{Name: name, Data: data}
+	return o.c.do(ctx, call{api.PathObjectPut, repeatable, o.c.timeouts.Object}, request, &api.Empty{})
+}
+
+// Get implements platform.Objects.
+func (o Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	var object api.Object
+	if err := o.c.do(ctx, call{api.PathObjectGet, reads, o.c.timeouts.Object}, api.Object{Name: name}, &object); err != nil {
+		return nil, err
+	}
+	return object.Data, nil
+}
+
+// Read implements platform.Folder.
+func (f Folder) Read(ctx context.Context) (platform.FolderState, error) {
+	var folder api.Folder
+	err := f.c.do(ctx, call{api.PathFolder, reads, f.c.timeouts.Folder}, api.Empty{}, &folder)
+	return platform.FolderState(folder), err
+}
+
+// Start implements platform.Cloud. The token makes a repeat return the same instance.
+func (o Cloud) Start(ctx context.Context, request platform.StartRequest) (platform.Instance, error) {
+	var instance platform.Instance
+	err := o.c.do(ctx, call{api.PathStart, repeatable, o.c.timeouts.Cloud}, request, &instance)
+	return instance, err
+}
+
+// Stop implements platform.Cloud.
+func (o Cloud) Stop(ctx context.Context, instance string) error {
+	request := api.InstanceID{Instance: instance}
+	return o.c.do(ctx, call{api.PathStop, repeatable, o.c.timeouts.Cloud}, request, &api.Empty{})
+}
+
+// Prices implements platform.Cloud.
+func (o Cloud) Prices(ctx context.Context) ([]platform.Price, error) {
+	var prices api.Prices
+	err := o.c.do(ctx, call{api.PathPrices, reads, o.c.timeouts.List}, api.Empty{}, &prices)
+	return prices.Prices, err
+}
+
+// Notices implements platform.Cloud. The service waits a little less than the context's deadline, so that its
+// empty answer arrives in time; no notice is not an error. A failed poll is not retried here, because its
+// caller polls in a loop.
+func (o Cloud) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
+	wait := noticeWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline))
+	}
+	var notices api.Notices
+	request := api.NoticesRequest{After: after, WaitMillis: max(wait-min(noticeGrace, wait/4), 0).Milliseconds()}
+	err := o.c.poll(ctx, call{api.PathNotices, reads, wait + noticeGrace}, request, &notices)
+	return notices.Notices, err
+}
+
+// Instances implements platform.InstanceList.
+func (i Instances) Instances(ctx context.Context) ([]platform.Instance, error) {
+	var list api.Instances
+	err := i.c.do(ctx, call{api.PathInstances, reads, i.c.timeouts.List}, api.Empty{}, &list)
+	return list.Instances, err
+}
+
+// Reserve implements platform.Weights. A repeat would use the rate twice, so it is never retried.
+func (w Weights) Reserve(ctx context.Context, model string, sizeMiB uint32) (time.Duration, error) {
+	var response api.ReserveResponse
+	request := api.ReserveRequest{Model: model, SizeMiB: sizeMiB}
+	err := w.c.do(ctx, call{api.PathReserve, once, w.c.timeouts.List}, request, &response)
+	return time.Duration(response.WaitMillis) * time.Millisecond, err
+}
--- /dev/null
+++ b/internal/adapter/platformhttp/platformhttp_test.go
@@ -0,0 +1,211 @@
+package platformhttp
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	standin "github.com/pollenlug/pollenlug/internal/standin/platform"
+	"github.com/pollenlug/pollenlug/internal/standin/table"
+	"github.com/pollenlug/pollenlug/pkg/platform"
+	"github.com/pollenlug/pollenlug/pkg/platform/platformtest"
+)
+
+func serve(t *testing.T, handler http.Handler, timeouts Timeouts) *Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	client, err := New(Options{BaseURL: server.URL, Timeouts: timeouts, Jitter: func() float64 { return 0.5 }})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return client
+}
+
+func open(t *testing.T) (*Client, *standin.Platform) {
+	t.Helper()
+	p := standin.New(standin.Options{
+		Seed: 1,
+		Cloud: standin.CloudOptions{
+			Prices: []platform.Price{{InstanceClass: "gpu", FailureDomain: "a", PricePerHourMicros: 5}},
+			Launch: func(context.Context, platform.Instance) (standin.Server, error) {
+				return standin.Server{Addr: "127.0.0.1:1", Stop: func() {}}, nil
+			},
+		},
+		WeightsMiBPerSecond: 1000,
+	})
+	t.Cleanup(p.Close)
+	return serve(t, p, Timeouts{}), p
+}
+
+// Guards against an adapter that changes what the platform answers.
+func TestContract(t *testing.T) {
+	t.Run("table", func(t *testing.T) {
+		platformtest.Table(t, func(t *testing.T) platform.Table { c, _ := open(t); return c.Table() })
+	})
+	t.Run("objects", func(t *testing.T) {
+		platformtest.Objects(t, func(t *testing.T) platform.Objects { c, _ := open(t); return c.Objects() })
+	})
+	t.Run("folder", func(t *testing.T) {
+		platformtest.Folder(t, func(t *testing.T) (platform.Folder, func(map[string][]byte)) {
+			c, p := open(t)
+			return c.Folder(), func(files map[string][]byte) { p.Folder.(*standin.MemFolder).Edit(files) }
+		})
+	})
+	t.Run("cloud", func(t *testing.T) {
+		platformtest.Cloud(t, func(t *testing.T) platformtest.CloudSetup {
+			c, p := open(t)
+			return platformtest.CloudSetup{
+				Cloud: c.Cloud(), List: c.Instances(),
+				Request:      platform.StartRequest{InstanceClass: "gpu", FailureDomain: "a"},
+				Reclaim:      func(id string, notice time.Duration) { p.Cloud.Reclaim(notice, id) },
+				RefuseStarts: func() { p.Cloud.RefuseStarts("a", "", true) },
+			}
+		})
+	})
+	t.Run("weights", func(t *testing.T) {
+		platformtest.Weights(t, func(t *testing.T) platform.Weights { c, _ := open(t); return c.Weights() })
+	})
+}
+
+var mutation = []platform.Mutation{{Table: "t", Key: "k", Value: []byte("v")}}
+
+// drop reads the request and closes the connection without an answer.
+func drop(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func page(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, "unavailable", http.StatusServiceUnavailable)
+}
+
+func half(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, `{"versions": [1`)
+}
+
+// Guards against ErrUnavailable for a write that may have taken effect. Callers answer "not run" on it.
+func TestErrorClasses(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{"drop": drop, "hang": hang, "page": page, "half": half} {
+		t.Run(name, func(t *testing.T) {
+			var commits atomic.Int64
+			client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				commits.Add(1)
+				handler(w, r)
+			}), Timeouts{Table: 100 * time.Millisecond, Object: 100 * time.Millisecond})
+			_, err := client.Table().Commit(t.Context(), mutation)
+			assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+			assert.Equal(t, commits.Load(), int64(1), "a commit was repeated")
+			_, err = client.Table().Get(t.Context(), "t", "k")
+			assert.ErrorIs(t, err, platform.ErrUnavailable)
+			assert.Equal(t, commits.Load(), int64(1+maxAttempts))
+			assert.ErrorIs(t, client.Objects().Put(t.Context(), "o", nil), platform.ErrOutcomeUnknown)
+		})
+	}
+}
+
+// Guards against ErrOutcomeUnknown, which costs callers a read-back, where nothing was sent or the service itself
+// states that it had no effect.
+func TestNoEffect(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	client, err := New(Options{BaseURL: "http://" + addr})
+	assert.NilError(t, err)
+	_, err = client.Table().Commit(t.Context(), mutation)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+
+	client, p := open(t)
+	p.StoreOutage(table.Refusing)
+	_, err = client.Table().Commit(t.Context(), mutation)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Equal(t, p.Table.Counts().RowWrites, uint64(0))
+}
+
+// Guards against a lost answer that looks like a refusal, and a stand-in whose lost write has no effect.
+func TestLostAnswerOverHTTP(t *testing.T) {
+	client, p := open(t)
+	p.LostAnswers(100, true)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := client.Table().Commit(ctx, mutation)
+	assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	p.HealStore()
+	row, err := client.Table().Get(t.Context(), "t", "k")
+	assert.NilError(t, err)
+	assert.Equal(t, string(row.Value), "v")
+}
+
+// Guards against an outcome that is reported as "no effect" because only the last attempt of several was refused.
+func TestEarlierAttemptDecides(t *testing.T) {
+	var calls atomic.Int64
+	p := standin.New(standin.Options{})
+	p.StoreOutage(table.Refusing)
+	client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			drop(w, r)
+		}
+		p.ServeHTTP(w, r)
+	}), Timeouts{})
+	assert.ErrorIs(t, client.Objects().Put(t.Context(), "o", nil), platform.ErrOutcomeUnknown)
+}
+
+// Guards against reads that fail on the first broken connection, and against retries that multiply the load of
+// an outage.
+func TestRetryBudget(t *testing.T) {
+	var calls atomic.Int64
+	p := standin.New(standin.Options{})
+	client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			drop(w, r)
+		}
+		p.ServeHTTP(w, r)
+	}), Timeouts{})
+	_, err := client.Table().Get(t.Context(), "t", "k")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.Equal(t, calls.Load(), int64(2))
+
+	p.StoreOutage(table.Refusing)
+	const reads = 100
+	for range reads {
+		_, err := client.Table().Get(t.Context(), "t", "k")
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+	}
+	retries := client.Retries()
+	assert.Assert(t, retries >= 10 && retries <= 1+budgetBurst+reads*budgetPerCall, "%d retries", retries)
+}
+
+// Guards against a client that stays on a connection that went silent while new ones work.
+func TestSilentConnection(t *testing.T) {
+	p := standin.New(standin.Options{})
+	var silent atomic.Value
+	silent.Store("")
+	client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.RemoteAddr == silent.Load() {
+			hang(w, r)
+			return
+		}
+		silent.CompareAndSwap("", r.RemoteAddr)
+		p.ServeHTTP(w, r)
+	}), Timeouts{Table: 200 * time.Millisecond})
+	_, err := client.Table().Get(t.Context(), "t", "k")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	_, err = client.Table().Get(t.Context(), "t", "k")
+	assert.ErrorIs(t, err, platform.ErrNotFound, "the retry did not use a new connection")
+	assert.Equal(t, client.Retries(), uint64(1))
+}
--- /dev/null
+++ b/pkg/configstore/harness_test.go
@@ -0,0 +1,305 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/internal/standin/object"
+	"github.com/pollenlug/pollenlug/internal/standin/table"
+	"github.com/pollenlug/pollenlug/pkg/config"
+	"github.com/pollenlug/pollenlug/pkg/platform"
+)
+
+// TestMain fixes the seed of the property tests unless the command line gives one.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// folder is an operators' folder whose reads may be stale.
+type folder struct {
+	mu     sync.Mutex
+	states []platform.FolderState
+	at     []time.Time
+}
+
+// edit adds a revision. An invalid one names a missing backend group.
+func (f *folder) edit(valid bool) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	revision := uint64(len(f.states) + 1)
+	text := fmt.Sprintf(`{"workspaces": [{"name": "w", "share": %d, "token_sha256": [%q]}]}`, revision, config.Digest(nil))
+	files := map[string][]byte{"10.json": []byte(text)}
+	if !valid {
+		files["20.json"] = []byte(`{"models": [{"name": "m", "backend_group": "missing", "context_tokens": 1}]}`)
+	}
+	f.states = append(f.states, platform.FolderState{Revision: revision, Files: files})
+	f.at = append(f.at, time.Now())
+	return revision
+}
+
+// folderView is the folder as one node sees it: late by a fixed time, or down.
+type folderView struct {
+	f    *folder
+	late time.Duration
+	down bool
+	mu   sync.Mutex
+}
+
+func (v *folderView) set(late time.Duration, down bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.late, v.down = late, down
+}
+
+func (v *folderView) Read(context.Context) (platform.FolderState, error) {
+	v.mu.Lock()
+	late, down := v.late, v.down
+	v.mu.Unlock()
+	if down {
+		return platform.FolderState{}, platform.ErrUnavailable
+	}
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	for i := len(v.f.states) - 1; i >= 0; i-- {
+		if i == 0 || time.Since(v.f.at[i]) >= late {
+			return v.f.states[i], nil
+		}
+	}
+	return platform.FolderState{}, platform.ErrUnavailable
+}
+
+// node is one store with its own view of the platform.
+type node struct {
+	name   string
+	c      *cluster
+	table  *table.Client
+	folder *folderView
+	store  *Store
+	cancel context.CancelFunc
+	rand   *rand.Rand
+	mu     sync.Mutex
+}
+
+// cluster is a set of nodes with a stand-in of gossip: a push to 3 peers, another after 300 ms, and an exchange
+// of the newest version with one peer per second.
+type cluster struct {
+	folder  *folder
+	table   *table.Table
+	objects *object.Store
+	nodes   []*node
+	latency time.Duration
+	timing  Timing
+	// failure is the first violation seen.
+	mu      sync.Mutex
+	failure string
+}
+
+const leaders = 3
+
+func newCluster(seed uint64, n int) *cluster {
+	c := &cluster{
+		folder:  &folder{},
+		table:   table.New(table.Options{Seed: seed}),
+		objects: object.New(),
+		latency: time.Millisecond,
+	}
+	for i := range n {
+		name := fmt.Sprintf("n%d", i)
+		c.nodes = append(c.nodes, &node{
+			name:   name,
+			c:      c,
+			table:  c.table.NewClient(name),
+			folder: &folderView{f: c.folder},
+			rand:   rand.New(rand.NewPCG(seed, uint64(i))),
+		})
+	}
+	return c
+}
+
+func (c *cluster) fail(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == "" {
+		c.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+func (c *cluster) start(ctx context.Context) {
+	for i, n := range c.nodes {
+		n.start(ctx, i < leaders)
+	}
+}
+
+func (c *cluster) stop() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+}
+
+func (n *node) draw(most int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rand.IntN(most)
+}
+
+func (n *node) start(ctx context.Context, leader bool) {
+	ctx, n.cancel = context.WithCancel(ctx)
+	store := New(Options{
+		Table:   n.table,
+		Objects: n.c.objects,
+		Folder:  n.folder,
+		Peers:   n,
+		Node:    n.name,
+		Leader:  func() bool { return leader },
+		Rand:    rand.New(rand.NewPCG(uint64(n.draw(1<<30)), 1)),
+		Timing:  n.c.timing,
+	})
+	n.mu.Lock()
+	n.store = store
+	n.mu.Unlock()
+	last := uint64(0)
+	store.Watch(func(now *InForce) {
+		if now.Version <= last {
+			n.c.fail("%s: version %d after %d", n.name, now.Version, last)
+		}
+		last = now.Version
+		go n.push(ctx, store, now)
+	})
+	go store.Run(ctx)
+	go n.exchange(ctx, store)
+}
+
+func (n *node) stop() { n.cancel() }
+
+func (n *node) current() *Store {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.store
+}
+
+func (n *node) version() uint64 { return n.current().currentVersion() }
+
+func (n *node) push(ctx context.Context, store *Store, now *InForce) {
+	for range 2 {
+		if !sleep(ctx, n.c.latency) {
+			return
+		}
+		for _, peer := range n.Sample(3) {
+			n.peer(peer).current().Offer(ctx, now.Version, now.Digest, n.name)
+		}
+		if !sleep(ctx, 300*time.Millisecond) {
+			return
+		}
+	}
+}
+
+func (n *node) exchange(ctx context.Context, store *Store) {
+	for sleep(ctx, time.Duration(900+n.draw(200))*time.Millisecond) {
+		for _, peer := range n.Sample(1) {
+			if now := store.Current(); now != nil {
+				n.peer(peer).current().Offer(ctx, now.Version, now.Digest, n.name)
+			}
+			if theirs := n.peer(peer).current().Current(); theirs != nil {
+				store.Offer(ctx, theirs.Version, theirs.Digest, peer)
+			}
+		}
+	}
+}
+
+func (n *node) peer(name string) *node {
+	for _, other := range n.c.nodes {
+		if other.name == name {
+			return other
+		}
+	}
+	return nil
+}
+
+// Sample implements Peers.
+func (n *node) Sample(count int) []string {
+	var out []string
+	for len(out) < min(count, len(n.c.nodes)-1) {
+		other := n.c.nodes[n.draw(len(n.c.nodes))]
+		if other != n && !contains(out, other.name) {
+			out = append(out, other.name)
+		}
+	}
+	return out
+}
+
+func contains(names []string, name string) bool {
+	for _, other := range names {
+		if other == name {
+			return true
+		}
+	}
+	return false
+}
+
+// FetchConfig implements Peers.
+func (n *node) FetchConfig(ctx context.Context, name string, fetch *pb.ConfigFetch) (*pb.ConfigState, error) {
+	if !sleep(ctx, 2*n.c.latency) {
+		return nil, ctx.Err()
+	}
+	state := n.peer(name).current().Serve(fetch)
+	return proto.Clone(state).(*pb.ConfigState), nil
+}
+
+// observe checks the row every 5 ms: neither the version nor the folder revision may fall.
+func (c *cluster) observe(ctx context.Context) {
+	view := c.table.NewClient("observer")
+	last := &pb.AcceptedVersion{}
+	for sleep(ctx, 5*time.Millisecond) {
+		now, err := readRow(view)
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			c.fail("read row: %v", err)
+			return
+		}
+		rises := now.Version > last.Version && now.FolderRevision > last.FolderRevision
+		if !rises && !proto.Equal(now, last) {
+			c.fail("row went from %v to %v", last, now)
+		}
+		last = now
+	}
+}
+
+func readRow(view platform.Table) (*pb.AcceptedVersion, error) {
+	row, err := view.Get(context.Background(), TableName, RowKey)
+	if err != nil {
+		return nil, err
+	}
+	value := &pb.AcceptedVersion{}
+	return value, proto.Unmarshal(row.Value, value)
+}
+
+// inForceEverywhere waits until every node has the folder revision and returns how long it took.
+func (c *cluster) inForceEverywhere(revision uint64, most time.Duration) (time.Duration, bool) {
+	began := time.Now()
+	for time.Since(began) < most {
+		done := true
+		for _, n := range c.nodes {
+			now := n.current().Current()
+			done = done && now != nil && now.FolderRevision >= revision
+		}
+		if done {
+			return time.Since(began), true
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return most, false
+}
