--- /dev/null
+++ b/internal/simnet/simnet.go
@@ -0,0 +1,162 @@
+// Package simnet runs the deterministic cores of many nodes in one process in virtual time, for tests and
+// measurements. Runs with the same seed have the same course.
+package simnet
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/gossip"
+	"google.golang.org/protobuf/proto"
+)
+
+// Epoch is the virtual time at which every run starts.
+var Epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Endpoint is the deterministic part of one node.
+type Endpoint interface {
+	Tick(now time.Time) []gossip.Message
+	Handle(now time.Time, from string, env *pb.Envelope) []gossip.Message
+}
+
+// Traffic is what one node sent and received, with gossip.MessageOverhead per message.
+type Traffic struct {
+	SentMessages, SentBytes, ReceivedMessages, ReceivedBytes uint64
+}
+
+// Net delivers messages between endpoints.
+type Net struct {
+	// Rand is the only source of chance.
+	Rand *rand.Rand
+	// Delay returns the one-way delay between two nodes; nil means 1 ms.
+	Delay func(from, to string) time.Duration
+	// Drop reports whether a message is lost; nil means that none is.
+	Drop func(from, to string) bool
+	// TickEvery is the period of ticks.
+	TickEvery time.Duration
+	// Sent is called for each message that a node sends; nil to ignore.
+	Sent func(from string, m gossip.Message)
+
+	now     time.Time
+	queue   events
+	serial  uint64
+	nodes   map[string]Endpoint
+	life    map[string]int // counts starts and stops, so that events of an earlier life are dropped
+	traffic map[string]*Traffic
+}
+
+type event struct {
+	at     time.Time
+	serial uint64
+	run    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].serial < e[j].serial
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// New returns an empty network.
+func New(seed uint64) *Net {
+	return &Net{Rand: rand.New(rand.NewPCG(seed, 1)), TickEvery: 100 * time.Millisecond, now: Epoch,
+		nodes: map[string]Endpoint{}, life: map[string]int{}, traffic: map[string]*Traffic{}}
+}
+
+// Now returns the virtual time.
+func (n *Net) Now() time.Time { return n.now }
+
+// At runs f at a time after the present.
+func (n *Net) At(after time.Duration, f func()) {
+	n.serial++
+	heap.Push(&n.queue, event{n.now.Add(after), n.serial, f})
+}
+
+// Start adds a node, which ticks from a random part of the tick period on. A node of the same name is replaced.
+func (n *Net) Start(node string, e Endpoint) {
+	n.nodes[node] = e
+	n.life[node]++
+	if n.traffic[node] == nil {
+		n.traffic[node] = &Traffic{}
+	}
+	n.tick(node, n.life[node], time.Duration(n.Rand.Int64N(int64(n.TickEvery))))
+}
+
+// Stop ends a node without notice.
+func (n *Net) Stop(node string) {
+	delete(n.nodes, node)
+	n.life[node]++
+}
+
+func (n *Net) tick(node string, life int, after time.Duration) {
+	n.At(after, func() {
+		if n.life[node] != life {
+			return
+		}
+		n.Send(node, n.nodes[node].Tick(n.now))
+		n.tick(node, life, n.TickEvery)
+	})
+}
+
+// Send delivers messages of a node after the delay of their path.
+func (n *Net) Send(from string, messages []gossip.Message) {
+	for _, m := range messages {
+		size := uint64(proto.Size(m.Env) + gossip.MessageOverhead)
+		n.traffic[from].SentMessages++
+		n.traffic[from].SentBytes += size
+		if n.Sent != nil {
+			n.Sent(from, m)
+		}
+		to := m.To.Node
+		if n.Drop != nil && n.Drop(from, to) {
+			continue
+		}
+		delay := time.Millisecond
+		if n.Delay != nil {
+			delay = n.Delay(from, to)
+		}
+		n.At(delay, func() { n.deliver(from, to, size, m.Env) })
+	}
+}
+
+func (n *Net) deliver(from, to string, size uint64, env *pb.Envelope) {
+	e := n.nodes[to]
+	if e == nil {
+		return
+	}
+	n.traffic[to].ReceivedMessages++
+	n.traffic[to].ReceivedBytes += size
+	n.Send(to, e.Handle(n.now, from, env))
+}
+
+// Run advances virtual time.
+func (n *Net) Run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
+		e := heap.Pop(&n.queue).(event)
+		n.now = e.at
+		e.run()
+	}
+	n.now = end
+}
+
+// Traffic returns what a node has sent and received so far.
+func (n *Net) Traffic(node string) Traffic { return *n.traffic[node] }
--- /dev/null
+++ b/pkg/gossip/gossip_test.go
@@ -0,0 +1,229 @@
+package gossip_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/internal/simnet"
+	"github.com/pollenlug/pollenlug/pkg/gossip"
+)
+
+// cluster is a simulated network of gossip cores in two regions.
+type cluster struct {
+	net   *simnet.Net
+	peers []gossip.Peer
+	cores []*gossip.Core
+}
+
+func newCluster(n int, seed uint64, change func(*gossip.Config)) *cluster {
+	c := &cluster{net: simnet.New(seed)}
+	for i := range n {
+		c.peers = append(c.peers, gossip.Peer{Node: fmt.Sprintf("n%03d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i),
+			Region: fmt.Sprintf("r%d", i%2), FailureDomain: fmt.Sprintf("d%d", i%6)})
+	}
+	region := func(node string) string {
+		i := slices.IndexFunc(c.peers, func(p gossip.Peer) bool { return p.Node == node })
+		return c.peers[i].Region
+	}
+	c.net.Delay = func(from, to string) time.Duration {
+		if region(from) != region(to) {
+			return 40 * time.Millisecond
+		}
+		return time.Millisecond
+	}
+	for i, p := range c.peers {
+		cfg := gossip.Config{Node: p.Node, Region: p.Region, Incarnation: 1, Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
+		if change != nil {
+			change(&cfg)
+		}
+		core := gossip.NewCore(cfg)
+		core.SetPeers(c.peers)
+		c.cores = append(c.cores, core)
+		c.net.Start(p.Node, core)
+	}
+	return c
+}
+
+// know counts the nodes that have a version of the key from the sequence on.
+func (c *cluster) know(key string, sequence uint64) int {
+	n := 0
+	for _, core := range c.cores {
+		if item, ok := core.Get(key); ok && item.Sequence >= sequence {
+			n++
+		}
+	}
+	return n
+}
+
+// spread writes an urgent item on a node and returns the time until share of the nodes know it, at most limit.
+func (c *cluster) spread(from int, key string, share float64, limit time.Duration) (time.Duration, bool) {
+	begun := c.net.Now()
+	c.cores[from].Set(begun, key, []byte("leaving"), time.Minute, true)
+	c.net.Send(c.peers[from].Node, c.cores[from].Tick(begun))
+	for c.net.Now().Sub(begun) < limit {
+		c.net.Run(10 * time.Millisecond)
+		if float64(c.know(key, 1)) >= share*float64(len(c.cores)) {
+			return c.net.Now().Sub(begun), true
+		}
+	}
+	return limit, false
+}
+
+// Guards against an urgent item that reaches some nodes late: all of 400 must know it within 2 s.
+func TestUrgentItemReachesAllWithinTwoSeconds(t *testing.T) {
+	c := newCluster(400, 1, nil)
+	c.net.Run(5 * time.Second)
+	for i := range 10 {
+		took, ok := c.spread(i*37, fmt.Sprintf("member/x%d", i), 1, 2*time.Second)
+		assert.Assert(t, ok, "run %d", i)
+		t.Logf("known by all after %v", took)
+		c.net.Run(time.Second)
+	}
+}
+
+// Measures the variants of push. POLLENLUG_MEASURE=1 runs enough repetitions for docs/measurements-gossip.md.
+func TestMeasureFanout(t *testing.T) {
+	nodes, repeats := 100, 3
+	if os.Getenv("POLLENLUG_MEASURE") != "" {
+		nodes, repeats = 400, 40
+	}
+	for _, v := range []struct {
+		name   string
+		fanout int
+		extra  time.Duration
+		noPull bool
+	}{
+		{"3, no pull", 3, -1, true}, {"2+extra, no pull", 2, 300 * time.Millisecond, true},
+		{"3+extra, no pull", 3, 300 * time.Millisecond, true},
+		{"3, pull", 3, -1, false}, {"2+extra, pull", 2, 300 * time.Millisecond, false},
+		{"3+extra, pull", 3, 300 * time.Millisecond, false},
+	} {
+		c := newCluster(nodes, 7, func(cfg *gossip.Config) { cfg.Fanout, cfg.ExtraDelay, cfg.NoRecentPull = v.fanout, v.extra, v.noPull })
+		pushes := 0
+		c.net.Sent = func(_ string, m gossip.Message) {
+			pushes += len(m.Env.GetGossipPush().GetItems())
+		}
+		c.net.Run(5 * time.Second)
+		pushes = 0
+		var half, all []time.Duration
+		missed, reached := 0, 0
+		for i := range repeats {
+			key := fmt.Sprintf("member/x%d", i)
+			from := i * 37 % nodes
+			took, ok := c.spread(from, key, 0.99, 2*time.Second)
+			half = append(half, took)
+			begun := c.net.Now()
+			for c.know(key, 1) < nodes && c.net.Now().Sub(begun) < 2*time.Second-took {
+				c.net.Run(10 * time.Millisecond)
+			}
+			all = append(all, took+c.net.Now().Sub(begun))
+			reached += c.know(key, 1)
+			if c.know(key, 1) < nodes || !ok {
+				missed++
+			}
+			c.net.Run(10 * time.Second)
+		}
+		slices.Sort(half)
+		slices.Sort(all)
+		t.Logf("%-18s nodes %d: 99%% of nodes median %v max %v; all nodes median %v max %v; runs over 2 s %d of %d; reached in 2 s %.2f%%; pushes per node and item %.2f",
+			v.name, nodes, half[len(half)/2], half[len(half)-1], all[len(all)/2], all[len(all)-1], missed, repeats,
+			100*float64(reached)/float64(repeats*nodes), float64(pushes)/float64(repeats*nodes))
+	}
+}
+
+// Guards against a storm of writes that exceeds the budget or delays urgent items.
+func TestStormStaysWithinTheBudget(t *testing.T) {
+	c := newCluster(60, 3, nil)
+	c.net.Run(5 * time.Second)
+	before := map[string]uint64{}
+	for _, p := range c.peers {
+		before[p.Node] = c.net.Traffic(p.Node).SentBytes
+	}
+	const seconds = 30
+	for second := range seconds {
+		for i, core := range c.cores {
+			for j := range 20 {
+				core.Set(c.net.Now(), fmt.Sprintf("load/%d/%d", i, j), make([]byte, 100), 20*time.Second, false)
+			}
+			core.Set(c.net.Now(), fmt.Sprintf("strike/%d/%d", i, second), make([]byte, 50), time.Minute, true)
+		}
+		c.net.Run(time.Second)
+	}
+	for _, p := range c.peers {
+		sent := c.net.Traffic(p.Node).SentBytes - before[p.Node]
+		assert.Assert(t, sent <= (seconds+2)*gossip.DefaultBytesPerSecond, "%s sent %d bytes", p.Node, sent)
+	}
+	assert.Equal(t, c.know("strike/0/0", 1), len(c.cores))
+}
+
+// Guards against a region that stays out of date after minutes without contact.
+func TestRegionsResyncAfterLostContact(t *testing.T) {
+	c := newCluster(60, 5, nil)
+	region := map[string]string{}
+	for _, p := range c.peers {
+		region[p.Node] = p.Region
+	}
+	c.net.Run(time.Second)
+	c.net.Drop = func(from, to string) bool { return region[from] != region[to] }
+	for i := range 50 {
+		c.cores[i].Set(c.net.Now(), fmt.Sprintf("member/%d", i), []byte("value"), time.Hour, i%2 == 0)
+	}
+	c.net.Run(5 * time.Minute)
+	assert.Equal(t, c.know("member/0", 1), 30)
+	c.net.Drop = nil
+	c.net.Run(30 * time.Second)
+	for i := range 50 {
+		assert.Equal(t, c.know(fmt.Sprintf("member/%d", i), 1), len(c.cores), "item %d", i)
+	}
+}
+
+// Guards against items that outlive their TTL because they are forwarded, and against an older version or an
+// earlier incarnation that replaces a newer one.
+func TestVersionsAndExpiry(t *testing.T) {
+	c := newCluster(20, 9, nil)
+	c.cores[0].Set(c.net.Now(), "demand/a", []byte("1"), 5*time.Second, false)
+	c.net.Run(4 * time.Second)
+	assert.Assert(t, c.know("demand/a", 1) > 10)
+	c.net.Run(17 * time.Second)
+	assert.Equal(t, c.know("demand/a", 1), 0)
+
+	now := c.net.Now()
+	core := c.cores[1]
+	assert.Assert(t, core.Put(now, &pb.GossipItem{Key: "config", Incarnation: 2, Sequence: 5}))
+	assert.Assert(t, !core.Put(now, &pb.GossipItem{Key: "config", Incarnation: 1, Sequence: 9}))
+	assert.Assert(t, !core.Put(now, &pb.GossipItem{Key: "config", Incarnation: 2, Sequence: 5}))
+	core.Set(now, "config", nil, 0, true)
+	item, _ := core.Get("config")
+	assert.Equal(t, item.Incarnation, uint64(2))
+	assert.Equal(t, item.Sequence, uint64(6), "a write must win against every version seen")
+}
+
+// Guards against a release that fails on message kinds and fields of a newer one.
+func TestUnknownKindsAreIgnored(t *testing.T) {
+	c := newCluster(2, 1, nil)
+	assert.Equal(t, len(c.cores[0].Handle(c.net.Now(), "n001", &pb.Envelope{Protocol: 9})), 0)
+	short := &pb.Envelope{Body: &pb.Envelope_GossipDigest{GossipDigest: &pb.GossipDigest{Buckets: []uint64{1}}}}
+	assert.Equal(t, len(c.cores[0].Handle(c.net.Now(), "n001", short)), 0)
+}
+
+// Guards against runs that differ, which would make every other test here unreliable.
+func TestRunsRepeat(t *testing.T) {
+	run := func() []simnet.Traffic {
+		c := newCluster(30, 11, nil)
+		c.net.Run(2 * time.Second)
+		c.spread(0, "member/x", 1, 5*time.Second)
+		var out []simnet.Traffic
+		for _, p := range c.peers {
+			out = append(out, c.net.Traffic(p.Node))
+		}
+		return out
+	}
+	assert.DeepEqual(t, run(), run())
+}
--- /dev/null
+++ b/pkg/gossip/view.go
@@ -0,0 +1,71 @@
+package gossip
+
+import "slices"
+
+// pick returns a random peer of the view that is not excluded; an empty Peer when there is none.
+func (c *Core) pick(excluded []string) Peer { return c.pickFrom(c.view, excluded) }
+
+func (c *Core) pickFrom(peers []Peer, excluded []string) Peer {
+	count := 0
+	var chosen Peer
+	for _, p := range peers {
+		if slices.Contains(excluded, p.Node) {
+			continue
+		}
+		count++
+		if c.cfg.Rand.IntN(count) == 0 {
+			chosen = p
+		}
+	}
+	return chosen
+}
+
+// fillView adds random peers until both parts of the view have their size.
+func (c *Core) fillView() {
+	for _, part := range []struct {
+		own  bool
+		size int
+	}{{true, ownRegionView}, {false, otherRegionView}} {
+		have := 0
+		for _, p := range c.view {
+			if (p.Region == c.cfg.Region) == part.own {
+				have++
+			}
+		}
+		var candidates []Peer
+		for _, p := range c.peers {
+			if (p.Region == c.cfg.Region) == part.own {
+				candidates = append(candidates, p)
+			}
+		}
+		for have < part.size {
+			p := c.pickFrom(candidates, nodesOf(c.view))
+			if p.Node == "" {
+				break
+			}
+			c.view = append(c.view, p)
+			have++
+		}
+	}
+}
+
+// rotateView replaces the oldest peer of the view. The oldest one goes first so that each stays for the same
+// time, and it may only be chosen again later.
+func (c *Core) rotateView() {
+	if len(c.peers) > len(c.view) && len(c.view) > 0 {
+		oldest := c.view[0]
+		c.view = slices.Delete(slices.Clone(c.view), 0, 1)
+		c.fillViewWithout(oldest)
+		return
+	}
+	c.fillView()
+}
+
+// fillViewWithout fills the view from all peers but one, which comes back only when no other is left.
+func (c *Core) fillViewWithout(left Peer) {
+	all := c.peers
+	c.peers = slices.DeleteFunc(slices.Clone(all), func(p Peer) bool { return p.Node == left.Node })
+	c.fillView()
+	c.peers = all
+	c.fillView()
+}
