--- a/internal/adapter/wiring/wiring.go
+++ b/internal/adapter/wiring/wiring.go
@@ -15,7 +15,7 @@
 
 // NewNode builds an entry node that uses the HTTP adapters.
 func NewNode(settings *pb.NodeSettings, credentials *transport.Credentials, log *logrus.Entry) (*node.Node, error) {
-	client, err := platformhttp.New(platformhttp.Options{URL: settings.PlatformUrl})
+	client, err := platformhttp.New(platformhttp.Options{BaseURL: settings.PlatformUrl})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -29,7 +29,7 @@
 	}
 	defer close(n.drained)
 	n.log.WithField("deadline", deadline).Info("node leaves: no new work, open requests go on")
-	n.members.Leave()
+	n.cluster.view.Leave()
 	if !deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-exitMargin))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,8 +144,8 @@
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
 	})
-	n.guard = newGuard(n.cluster, n.metrics)
-	n.admission = newAdmission(s.Node, n.cluster)
+	n.guard = newGuard(n.metrics)
+	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: defaultConcurrency})
 	n.loads = newLoadPoller(n.opts.Engine, n.opts.Service, n.router)
 	n.buildResponses()
 	n.buildServices()
@@ -161,6 +161,9 @@
 		Log:         n.log,
 	})
 	n.config.Watch(n.applyConfig)
+	n.cluster.watchConfig(func(version uint64, digest, node string) {
+		n.config.Offer(context.Background(), version, digest, node)
+	})
 	n.server = n.newServer()
 }
 
@@ -290,6 +293,7 @@
 	case <-n.killed:
 		return nil
 	}
+	n.cluster.view.Left()
 	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = n.server.Shutdown(shutdown)
@@ -326,6 +330,7 @@
 		n.replicator.Run,
 		func(ctx context.Context) { n.loads.run(ctx, n.tracker.List) },
 		n.expire,
+		n.exchangeDemand,
 	} {
 		wg.Go(func() { run(ctx) })
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -25,7 +25,6 @@
 	Servers       []serverStatus     `json:"servers"`
 	Responses     responseStatus     `json:"responses"`
 	Claims        claimStatus        `json:"non_repeatable_calls"`
-	Limits        any                `json:"limits"`
 	Quarantines   any                `json:"quarantines"`
 }
 
@@ -75,7 +74,6 @@
 		Servers:       n.serverStatus(),
 		Responses:     responseStatus{n.runner.Running(), n.logs.Len(), n.openRequests.Load()},
 		Claims:        claimStatus{claims.Open, claims.Background},
-		Limits:        n.admission.Status(),
 		Quarantines:   n.guard.status(),
 	}
 }
--- a/internal/replica/attach.go
+++ b/internal/replica/attach.go
@@ -48,7 +48,7 @@
 	}
 	source, state, err := r.find(ctx, workspace, id, 0)
 	if err != nil {
-		return nil, nil, code.New(code.UnknownResponse, "no live node holds this response")
+		return nil, nil, code.New(code.UnknownResponse, "no live node holds this response").WithRan(code.RanUnknown)
 	}
 	log, release = r.startMirror(workspace, id, source, state)
 	return log, release, nil
