--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -190,13 +190,22 @@
 		assert.Assert(t, time.Since(start) < time.Second)
 
 		// A deadline without an answer has the same effect.
-		assert.Equal(t, e.Net().SilenceOpen(), 1)
+		for range 2 {
+			go func() { streams <- run(5) }()
+		}
+		assert.NilError(t, <-streams)
+		assert.NilError(t, <-streams)
+		assert.Equal(t, e.Net().SilenceOpen(), 2)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := client.Load(ctx, addr)
 		assertClass(t, err, backend.ErrInterrupted)
-		_, err = client.Load(t.Context(), addr)
+		start = time.Now()
+		ctx, cancel = context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = client.Load(ctx, addr)
 		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), time.Duration(0))
 	})
 }
 
--- a/internal/adapter/httpclient/httpclient_test.go
+++ b/internal/adapter/httpclient/httpclient_test.go
@@ -118,3 +118,58 @@
 		assert.Equal(t, len(client.conns), 0)
 	})
 }
+
+// Guards against the rare interleavings that the tests above do not reach on every run.
+func TestConnectionStates(t *testing.T) {
+	client := New(Options{})
+	open := func() (*conn, *bool) {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		closed := new(bool)
+		return client.track(closeRecorder{near, closed}, addr), closed
+	}
+	write := func(c *conn) error {
+		_, err := c.Write([]byte("x"))
+		return err
+	}
+	t.Run("a sealed connection takes no write", func(t *testing.T) {
+		c, _ := open()
+		assert.Assert(t, c.seal(c.take()))
+		assert.ErrorIs(t, write(c), net.ErrClosed)
+	})
+	t.Run("a connection with a write is not sealed", func(t *testing.T) {
+		c, _ := open()
+		writes := c.take()
+		assert.NilError(t, write(c))
+		assert.Assert(t, !c.seal(writes))
+	})
+	t.Run("a late release does not free a connection that was taken again", func(t *testing.T) {
+		c, closed := open()
+		c.take()
+		c.take()
+		c.release()
+		c.retire()
+		assert.Assert(t, !*closed)
+		assert.NilError(t, write(c))
+		c.release()
+		assert.Assert(t, *closed)
+	})
+	t.Run("an idle connection that retires takes no write", func(t *testing.T) {
+		c, closed := open()
+		c.retire()
+		assert.Assert(t, *closed)
+		assert.ErrorIs(t, write(c), net.ErrClosed)
+		assert.Equal(t, c.writes, uint64(0))
+	})
+}
+
+type closeRecorder struct {
+	net.Conn
+	closed *bool
+}
+
+// Close implements net.Conn.
+func (c closeRecorder) Close() error {
+	*c.closed = true
+	return nil
+}
