--- a/internal/standin/engine/cache_test.go
+++ b/internal/standin/engine/cache_test.go
@@ -93,6 +93,25 @@
 	})
 }
 
+// Guards against a moved request that waits for memory which its own imported KV cache takes.
+func TestImportedRequestNeedsNoSecondMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{Models: []string{"m"}, CacheTokens: 1000})
+		defer e.Close()
+		first := backend.GenerateRequest{ID: "1", Model: "m", Prompt: strings.Repeat("abc ", 450), MaxTokens: 60}
+		_, err := e.submit(first)
+		assert.NilError(t, err)
+		moved := backend.GenerateRequest{ID: "2", Model: "m", Prompt: strings.Repeat("xyz ", 450), MaxTokens: 60, KVFrom: "2"}
+		assert.NilError(t, e.importKV("2", exportedKV{ID: "2", Digest: answerFor(&moved).digest, Tokens: 450}))
+		_, err = e.submit(moved)
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		assert.Equal(t, len(e.running), 2)
+	})
+}
+
 // Guards against a handler that keeps writing on a frozen engine, or stays behind after Unfreeze.
 func TestFreezeStopsTheStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -135,6 +135,8 @@
 	served   atomic.Uint64 // tokens written to callers
 	isFrozen atomic.Bool   // frozen is not nil; spares the lock for each token
 
+	lifecycle sync.Mutex // held for the whole of Crash and Restart; taken before mu
+
 	mu        sync.Mutex
 	dead      chan struct{} // closed by Crash
 	crashed   bool
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -5,6 +5,8 @@
 // Crash ends the engine as the end of its process does: connections are closed, new ones are refused until Restart,
 // and cache, queue and loaded models are lost. A crashed engine is not frozen.
 func (e *Engine) Crash() {
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
 	e.mu.Lock()
 	if e.crashed {
 		e.mu.Unlock()
@@ -37,6 +39,8 @@
 // Restart starts a crashed engine again, empty and with the models of its options. It returns an error when the
 // address is taken; for an engine that runs it does nothing.
 func (e *Engine) Restart() error {
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
 	select {
 	case <-e.closing:
 		return nil
--- a/internal/standin/netfault/netfault.go
+++ b/internal/standin/netfault/netfault.go
@@ -17,6 +17,8 @@
 	handler http.Handler
 	listen  ListenFunc
 
+	lifecycle sync.Mutex // held for the whole of Listen, Crash and Restart; taken before mu
+
 	mu       sync.Mutex
 	addr     string
 	listener net.Listener
@@ -41,6 +43,12 @@
 
 // Listen starts to serve at addr, an IP:port, and returns. Port 0 chooses a free port, which Restart uses again.
 func (s *Server) Listen(addr string) error {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
+	return s.open(addr)
+}
+
+func (s *Server) open(addr string) error {
 	l, err := s.listen(addr)
 	if err != nil {
 		return err
@@ -67,6 +75,8 @@
 
 // Crash closes the listener and all connections. Without a listener it does nothing.
 func (s *Server) Crash() {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	h, l := s.http, s.listener
 	s.http, s.listener = nil, nil
@@ -89,13 +99,15 @@
 
 // Restart listens at the same address again after Crash. It does nothing when the server is not crashed.
 func (s *Server) Restart() error {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	addr, running := s.addr, s.listener != nil
 	s.mu.Unlock()
 	if running || addr == "" {
 		return nil
 	}
-	return s.Listen(addr)
+	return s.open(addr)
 }
 
 // Close ends the server for good.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -144,6 +144,8 @@
 	net     *netfault.Server
 	book    *Book
 
+	lifecycle sync.Mutex // held for the whole of Crash and Restart; taken before mu
+
 	mu         sync.Mutex
 	dead       chan struct{} // closed by Crash
 	crashed    bool
@@ -279,6 +281,8 @@
 
 // Crash closes all connections and refuses new ones until Restart. The book is kept.
 func (s *Service) Crash() {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	if s.crashed {
 		s.mu.Unlock()
@@ -293,6 +297,8 @@
 
 // Restart starts a crashed service again. It returns an error when the address is taken.
 func (s *Service) Restart() error {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	if !s.crashed {
 		s.mu.Unlock()
