--- a/internal/devcluster/session_test.go
+++ b/internal/devcluster/session_test.go
@@ -1,14 +1,12 @@
 package devcluster
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"regexp"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
@@ -24,11 +22,7 @@
 	logger.SetOutput(io.Discard)
 	c, err := Start(Options{Seed: 1, Log: logrus.NewEntry(logger)})
 	assert.NilError(t, err)
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		c.Stop(ctx)
-	})
+	t.Cleanup(func() { c.Stop(canceled()) })
 	return c
 }
 
--- a/internal/devcluster/standins.go
+++ b/internal/devcluster/standins.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -299,3 +300,10 @@
 		server.Close()
 	}
 }
+
+// allEngines returns the engine stand-ins by name.
+func (s *Standins) allEngines() map[string]*engine.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.engines)
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -165,3 +165,11 @@
 	}
 	return nil
 }
+
+// MemberState returns the state of a node as this node sees it.
+func (n *Node) MemberState(node string) string {
+	if m, ok := n.cluster.member(node); ok {
+		return m.Status.String()
+	}
+	return ""
+}
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -274,6 +274,13 @@
 	return stats
 }
 
+// Running returns the number of sequences in the batch at present, without the lag of load reports.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 func (e *Engine) countPrefill(s *sequence, tokens int) {
 	s.done += tokens
 	e.stats.PrefilledTokens += uint64(tokens)
