--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,314 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/internal/simnet"
+	"github.com/pollenlug/pollenlug/pkg/gossip"
+	"github.com/pollenlug/pollenlug/pkg/membership"
+	"github.com/pollenlug/pollenlug/pkg/platform"
+)
+
+// cluster is a simulated network of nodes in two regions with three failure domains each.
+type cluster struct {
+	t     *testing.T
+	net   *simnet.Net
+	seed  uint64
+	nodes []membership.Config
+	cores map[string]*membership.Core
+	of    map[string]membership.Config
+	// cut drops messages between two nodes.
+	cut func(from, to membership.Config) bool
+	// outage makes the instance list unavailable.
+	outage bool
+}
+
+func newCluster(t *testing.T, n int, seed uint64) *cluster {
+	c := &cluster{t: t, net: simnet.New(seed), seed: seed, cores: map[string]*membership.Core{}, of: map[string]membership.Config{}}
+	c.net.Delay = func(from, to string) time.Duration {
+		if c.of[from].Region != c.of[to].Region {
+			return 40 * time.Millisecond
+		}
+		return time.Millisecond
+	}
+	c.net.Drop = func(from, to string) bool { return c.cut != nil && c.cut(c.of[from], c.of[to]) }
+	for i := range n {
+		c.nodes = append(c.nodes, membership.Config{Node: fmt.Sprintf("n%03d", i), Region: fmt.Sprintf("r%d", i%2),
+			FailureDomain: fmt.Sprintf("r%d-d%d", i%2, i/2%3), NodeAddr: fmt.Sprintf("10.0.%d.%d:1", i/200, i%200+1)})
+	}
+	for _, cfg := range c.nodes {
+		c.start(cfg)
+	}
+	return c
+}
+
+// start runs a node; its incarnation is the virtual time.
+func (c *cluster) start(cfg membership.Config) *membership.Core {
+	c.seed++
+	cfg.Rand = rand.New(rand.NewPCG(c.seed, 1))
+	cfg.Incarnation = uint64(c.net.Now().UnixMilli())
+	g := gossip.NewCore(gossip.Config{Node: cfg.Node, Region: cfg.Region, Incarnation: cfg.Incarnation,
+		Rand: rand.New(rand.NewPCG(c.seed, 2))})
+	core := membership.NewCore(cfg, g)
+	c.of[cfg.Node], c.cores[cfg.Node] = cfg, core
+	c.net.Start(cfg.Node, core)
+	c.readList(cfg.Node, core)
+	return core
+}
+
+// readList reads the instance list when it is due, as Runner does.
+func (c *cluster) readList(node string, core *membership.Core) {
+	if c.cores[node] != core {
+		return
+	}
+	if core.ListDue(c.net.Now()) && !c.outage {
+		var list []platform.Instance
+		for _, cfg := range c.nodes {
+			if c.cores[cfg.Node] == nil && c.net.Now() != simnet.Epoch {
+				continue
+			}
+			list = append(list, platform.Instance{ID: cfg.Node, Kind: platform.EntryNode, State: platform.Live,
+				Region: cfg.Region, FailureDomain: cfg.FailureDomain, NodeAddr: cfg.NodeAddr})
+		}
+		core.HandleInstances(c.net.Now(), list)
+	}
+	c.net.At(500*time.Millisecond, func() { c.readList(node, core) })
+}
+
+func (c *cluster) kill(node string) {
+	c.net.Stop(node)
+	delete(c.cores, node)
+}
+
+// status returns how the observer sees a node.
+func (c *cluster) status(observer, node string) pb.MemberState_Status {
+	for _, m := range c.cores[observer].Members() {
+		if m.Node == node {
+			return m.Status
+		}
+	}
+	return pb.MemberState_STATUS_UNSPECIFIED
+}
+
+// count returns how many running nodes see the node with one of the statuses.
+func (c *cluster) count(node string, statuses ...pb.MemberState_Status) int {
+	n := 0
+	for observer := range c.cores {
+		for _, s := range statuses {
+			if c.status(observer, node) == s {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// never fails the test when a running node is seen with the status at any time in d.
+func (c *cluster) never(d time.Duration, status pb.MemberState_Status, except func(observer, node string) bool) {
+	c.t.Helper()
+	for end := c.net.Now().Add(d); c.net.Now().Before(end); c.net.Run(500 * time.Millisecond) {
+		for observer, core := range c.cores {
+			for _, m := range core.Members() {
+				if m.Status == status && c.cores[m.Node] != nil && (except == nil || !except(observer, m.Node)) {
+					c.t.Fatalf("%v: %s sees running %s as %v", c.net.Now().Sub(simnet.Epoch), observer, m.Node, status)
+				}
+			}
+		}
+	}
+}
+
+// until runs until the condition holds and returns how long that took.
+func (c *cluster) until(limit time.Duration, what string, ok func() bool) time.Duration {
+	c.t.Helper()
+	begun := c.net.Now()
+	for !ok() {
+		if c.net.Now().Sub(begun) >= limit {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+		c.net.Run(50 * time.Millisecond)
+	}
+	return c.net.Now().Sub(begun)
+}
+
+const (
+	alive   = pb.MemberState_ALIVE
+	suspect = pb.MemberState_SUSPECT
+	dead    = pb.MemberState_DEAD
+	leaving = pb.MemberState_LEAVING
+)
+
+// Guards against new work for a leaving node: at 400 nodes all must know of the leave within 2 s.
+func TestLeaveIsKnownEverywhereWithinTwoSeconds(t *testing.T) {
+	c := newCluster(t, 400, 1)
+	c.net.Run(8 * time.Second)
+	assert.Equal(t, len(c.cores["n000"].Live()), 400)
+	for i := range 5 {
+		node := fmt.Sprintf("n%03d", i*71)
+		c.cores[node].Leave()
+		took := c.until(2*time.Second, "leave known by all", func() bool { return c.count(node, leaving) == 400 })
+		t.Logf("leave known by all 400 after %v", took)
+	}
+}
+
+// Guards against a prober whose own link is at fault: others reach the node, so it must not be suspected.
+func TestOneSidedCutHarmsNobody(t *testing.T) {
+	c := newCluster(t, 24, 2)
+	c.net.Run(10 * time.Second)
+	c.cut = func(from, to membership.Config) bool { return from.Node == "n000" && to.Node == "n002" }
+	c.never(2*time.Minute, suspect, nil)
+	assert.Equal(t, c.count("n002", alive), 24)
+}
+
+// Guards against a dead node that stays in the view, and against a suspicion by one failure domain alone.
+func TestDeadNodeIsDetected(t *testing.T) {
+	c := newCluster(t, 24, 3)
+	c.net.Run(10 * time.Second)
+	c.kill("n004")
+	t.Logf("suspected after %v", c.until(6*time.Second, "suspected by all", func() bool { return c.count("n004", suspect, dead) == 23 }))
+	t.Logf("dead after %v more", c.until(4*time.Second, "dead for all", func() bool { return c.count("n004", dead) == 23 }))
+}
+
+// Guards against a failure domain that loses contact with the others and takes survivors along, and against a
+// lost domain that is not noticed.
+func TestLostFailureDomain(t *testing.T) {
+	c := newCluster(t, 120, 4)
+	c.net.Run(15 * time.Second)
+	lost := map[string]bool{}
+	for _, cfg := range c.nodes {
+		if cfg.FailureDomain == "r0-d1" {
+			lost[cfg.Node] = true
+			c.kill(cfg.Node)
+		}
+	}
+	assert.Equal(t, len(lost), 20)
+	gone := func() bool {
+		for node := range lost {
+			if c.count(node, suspect, dead) < len(c.cores) {
+				return false
+			}
+		}
+		return true
+	}
+	for begun := c.net.Now(); !gone(); {
+		c.never(500*time.Millisecond, suspect, nil)
+		assert.Assert(t, c.net.Now().Sub(begun) < 15*time.Second, "the lost domain was not detected")
+	}
+	t.Logf("lost domain known after %v", c.net.Now().Sub(simnet.Epoch)-15*time.Second)
+	c.never(30*time.Second, suspect, nil)
+}
+
+// Guards against a node cut off from all others that declares the rest dead instead of suspecting itself.
+func TestIsolatedNodeSuspectsItself(t *testing.T) {
+	c := newCluster(t, 24, 5)
+	c.net.Run(10 * time.Second)
+	c.cut = func(from, to membership.Config) bool { return from.Node == "n006" || to.Node == "n006" }
+	c.until(20*time.Second, "n006 suspects itself", func() bool { return c.cores["n006"].Self().Status == suspect })
+	c.until(10*time.Second, "others see n006 as dead", func() bool { return c.count("n006", dead) == 23 })
+	for _, m := range c.cores["n006"].Members() {
+		assert.Assert(t, m.Status != dead, "n006 declared %s dead", m.Node)
+	}
+	c.cut = nil
+	c.until(30*time.Second, "n006 is back", func() bool { return c.count("n006", alive) == 24 })
+}
+
+// Guards against false deaths when regions lose contact for minutes: the other region is suspected as a whole,
+// nobody is dead, and contact is found again.
+func TestRegionSplitHeals(t *testing.T) {
+	c := newCluster(t, 60, 6)
+	c.net.Run(15 * time.Second)
+	c.cut = func(from, to membership.Config) bool { return from.Region != to.Region }
+	c.net.Run(12 * time.Second)
+	assert.Equal(t, c.status("n000", "n001"), suspect)
+	assert.Equal(t, len(c.cores["n000"].Live()), 30)
+	sameRegion := func(observer, node string) bool { return c.of[observer].Region != c.of[node].Region }
+	c.never(10*time.Second, suspect, sameRegion)
+	c.cores["n003"].Leave()
+	c.never(5*time.Minute, dead, nil)
+	c.cut = nil
+	c.until(15*time.Second, "regions see each other", func() bool { return len(c.cores["n000"].Live()) == 59 })
+	c.until(15*time.Second, "leave during the split is known", func() bool { return c.count("n003", leaving) == 60 })
+	c.never(time.Minute, dead, nil)
+}
+
+// Guards against a view that needs the instance list, and against a node that never joins because the list was
+// unavailable when it started.
+func TestInstanceListOutage(t *testing.T) {
+	c := newCluster(t, 12, 7)
+	c.net.Run(15 * time.Second)
+	c.outage = true
+	c.nodes = append(c.nodes, membership.Config{Node: "late", Region: "r0", FailureDomain: "r0-d0", NodeAddr: "10.1.0.1:1"})
+	late := c.start(c.nodes[12])
+	c.net.Run(time.Minute)
+	assert.Equal(t, len(late.Live()), 1)
+	c.kill("n008")
+	c.until(12*time.Second, "death is detected without the list", func() bool { return c.count("n008", dead) == 11 })
+	c.net.Run(time.Hour) // six times the TTL of a member
+	assert.Equal(t, len(c.cores["n000"].Live()), 11, "the view must outlast an outage of hours")
+	c.outage = false
+	c.until(10*time.Second, "late node joins", func() bool { return c.count("late", alive) == 12 && len(late.Live()) == 12 })
+}
+
+// Guards against a restarted node that is taken for the dead process of the same name.
+func TestRestartWithTheSameName(t *testing.T) {
+	c := newCluster(t, 24, 8)
+	c.net.Run(10 * time.Second)
+	c.kill("n010")
+	c.until(12*time.Second, "dead", func() bool { return c.count("n010", dead) == 23 })
+	c.start(c.nodes[10])
+	c.until(5*time.Second, "alive again", func() bool { return c.count("n010", alive) == 24 })
+}
+
+// Guards against a release that fails on messages of a newer one, and against probes or gossip that refuse the
+// older release.
+func TestTwoProtocolVersionsSideBySide(t *testing.T) {
+	c := newCluster(t, 12, 9)
+	newer := &newerRelease{c.cores["n000"]}
+	c.net.Start("n000", newer)
+	c.never(30*time.Second, suspect, nil)
+	assert.Equal(t, len(c.cores["n005"].Live()), 12)
+}
+
+// newerRelease sends kinds and fields that this release does not know beside the usual messages.
+type newerRelease struct{ *membership.Core }
+
+func (n *newerRelease) Tick(now time.Time) []gossip.Message {
+	out := n.Core.Tick(now)
+	for _, m := range out {
+		m.Env.Protocol = 2
+		// Field 1000 of the body's type, a varint, as an added field would look.
+		m.Env.ProtoReflect().SetUnknown([]byte{0xc0, 0x3e, 0x01})
+		out = append(out, gossip.Message{To: m.To, Env: &pb.Envelope{Protocol: 2}})
+	}
+	return out
+}
+
+// Guards against a rendezvous choice that depends on the order of members, moves keys of unaffected nodes, or
+// stays in the excluded domain.
+func TestRendezvous(t *testing.T) {
+	var members []membership.Member
+	for i := range 60 {
+		members = append(members, membership.Member{Node: fmt.Sprintf("n%02d", i), FailureDomain: fmt.Sprintf("d%d", i%3)})
+	}
+	load := map[string]int{}
+	for k := range 3000 {
+		key := fmt.Sprintf("key%d", k)
+		first := membership.Rendezvous(key, members, 3)
+		load[first[0].Node]++
+		without := membership.Rendezvous(key, members[1:], 3)
+		if first[0].Node != "n00" && first[1].Node != "n00" && first[2].Node != "n00" {
+			assert.DeepEqual(t, first, without)
+		}
+		for _, m := range membership.RendezvousOutside(key, members, 2, "d1") {
+			assert.Assert(t, m.FailureDomain != "d1")
+		}
+	}
+	for node, n := range load {
+		assert.Assert(t, n > 20 && n < 90, "%s has %d of 3000 keys", node, n)
+	}
+}
