--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -31,6 +31,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/internal/standin/netfault"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 )
@@ -92,6 +93,21 @@
 	Listen netfault.ListenFunc
 }
 
+// FromSettings returns the options for an engine of a stand-in process.
+func FromSettings(server *pb.StandinServer, seed uint64) Options {
+	return Options{
+		Name:                   server.GetName(),
+		Models:                 server.GetModels(),
+		Seed:                   seed,
+		StepBase:               time.Duration(server.GetStepBaseUs()) * time.Microsecond,
+		StepPerSequence:        time.Duration(server.GetStepPerSequenceUs()) * time.Microsecond,
+		PrefillTokensPerSecond: int(server.GetPrefillTokensPerSecond()),
+		CacheTokens:            int(server.GetCacheTokens()),
+		MaxBatch:               int(server.GetMaxBatch()),
+		ChecksFencing:          server.GetChecksFencing(),
+	}
+}
+
 func (o *Options) setDefaults() {
 	setDefault(&o.StepBase, DefaultStepBase)
 	setDefault(&o.StepPerSequence, DefaultStepPerSequence)
@@ -116,7 +132,10 @@
 	closing chan struct{}
 	closed  sync.Once
 
-	served atomic.Uint64 // tokens written to callers
+	served   atomic.Uint64 // tokens written to callers
+	isFrozen atomic.Bool   // frozen is not nil; spares the lock for each token
+
+	lifecycle sync.Mutex // held for the whole of Crash and Restart; taken before mu
 
 	mu        sync.Mutex
 	dead      chan struct{} // closed by Crash
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -5,6 +5,8 @@
 // Crash ends the engine as the end of its process does: connections are closed, new ones are refused until Restart,
 // and cache, queue and loaded models are lost. A crashed engine is not frozen.
 func (e *Engine) Crash() {
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
 	e.mu.Lock()
 	if e.crashed {
 		e.mu.Unlock()
@@ -37,6 +39,8 @@
 // Restart starts a crashed engine again, empty and with the models of its options. It returns an error when the
 // address is taken; for an engine that runs it does nothing.
 func (e *Engine) Restart() error {
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
 	select {
 	case <-e.closing:
 		return nil
@@ -58,6 +62,7 @@
 	defer e.mu.Unlock()
 	if e.frozen == nil && !e.crashed {
 		e.frozen = make(chan struct{})
+		e.isFrozen.Store(true)
 		e.net.Freeze()
 	}
 }
@@ -74,6 +79,7 @@
 	if e.frozen != nil {
 		close(e.frozen)
 		e.frozen = nil
+		e.isFrozen.Store(false)
 	}
 }
 
--- a/internal/standin/netfault/netfault.go
+++ b/internal/standin/netfault/netfault.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 var errClosed = errors.New("netfault: server is closed")
@@ -16,6 +17,8 @@
 	handler http.Handler
 	listen  ListenFunc
 
+	lifecycle sync.Mutex // held for the whole of Listen, Crash and Restart; taken before mu
+
 	mu       sync.Mutex
 	addr     string
 	listener net.Listener
@@ -23,6 +26,8 @@
 	conns    map[*conn]struct{}
 	frozen   chan struct{} // closed by Unfreeze; nil when the server is not frozen
 	closed   bool
+
+	isFrozen atomic.Bool // frozen is not nil; spares the lock for each write
 }
 
 // ListenFunc opens a listener at an address.
@@ -38,6 +43,12 @@
 
 // Listen starts to serve at addr, an IP:port, and returns. Port 0 chooses a free port, which Restart uses again.
 func (s *Server) Listen(addr string) error {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
+	return s.open(addr)
+}
+
+func (s *Server) open(addr string) error {
 	l, err := s.listen(addr)
 	if err != nil {
 		return err
@@ -64,6 +75,8 @@
 
 // Crash closes the listener and all connections. Without a listener it does nothing.
 func (s *Server) Crash() {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	h, l := s.http, s.listener
 	s.http, s.listener = nil, nil
@@ -86,13 +99,15 @@
 
 // Restart listens at the same address again after Crash. It does nothing when the server is not crashed.
 func (s *Server) Restart() error {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	addr, running := s.addr, s.listener != nil
 	s.mu.Unlock()
 	if running || addr == "" {
 		return nil
 	}
-	return s.Listen(addr)
+	return s.open(addr)
 }
 
 // Close ends the server for good.
@@ -109,6 +124,7 @@
 	defer s.mu.Unlock()
 	if s.frozen == nil {
 		s.frozen = make(chan struct{})
+		s.isFrozen.Store(true)
 	}
 }
 
@@ -123,6 +139,7 @@
 	if s.frozen != nil {
 		close(s.frozen)
 		s.frozen = nil
+		s.isFrozen.Store(false)
 	}
 }
 
@@ -138,6 +155,9 @@
 }
 
 func (s *Server) frozenNow() chan struct{} {
+	if !s.isFrozen.Load() {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.frozen
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/internal/standin/netfault"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 )
@@ -45,6 +46,11 @@
 	Listen netfault.ListenFunc
 }
 
+// FromSettings returns the options for a service of a stand-in process. The seed also decides the faults.
+func FromSettings(server *pb.StandinServer, seed uint64) Options {
+	return Options{Name: server.GetName(), Seed: seed, MaxRunning: int(server.GetMaxBatch())}
+}
+
 // Run is one run of a call.
 type Run struct {
 	Number uint64 `json:"number"` // order of all runs in the book
@@ -138,6 +144,8 @@
 	net     *netfault.Server
 	book    *Book
 
+	lifecycle sync.Mutex // held for the whole of Crash and Restart; taken before mu
+
 	mu         sync.Mutex
 	dead       chan struct{} // closed by Crash
 	crashed    bool
@@ -273,6 +281,8 @@
 
 // Crash closes all connections and refuses new ones until Restart. The book is kept.
 func (s *Service) Crash() {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	if s.crashed {
 		s.mu.Unlock()
@@ -287,6 +297,8 @@
 
 // Restart starts a crashed service again. It returns an error when the address is taken.
 func (s *Service) Restart() error {
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	if !s.crashed {
 		s.mu.Unlock()
