--- a/internal/adapter/enginehttp/bench_test.go
+++ b/internal/adapter/enginehttp/bench_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// BenchmarkReadLoopback is the floor for BenchmarkStreamLoopback: the same server, and a client that only reads.
+// BenchmarkReadLoopback is the lower bound for BenchmarkStreamLoopback: the same server, and a client that only reads.
 func BenchmarkReadLoopback(b *testing.B) {
 	l := serveTokens(b)
 	defer l.Close()
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -34,7 +34,7 @@
 // Options configure a Client. Zero values mean the defaults.
 type Options struct {
 	// FirstSilence bounds the time without any byte until the first chunk, while the request may wait on the engine
-	// and only signs of life arrive. Silence bounds it between chunks.
+	// and only heartbeats arrive. Silence bounds it between chunks.
 	FirstSilence time.Duration
 	Silence      time.Duration
 	HTTP         httpclient.Options
@@ -119,7 +119,7 @@
 			}
 			return transportError{silence.classify(fmt.Errorf("%w: %w", backend.ErrInterrupted, err))}
 		}
-		if len(line) == 0 { // sign of life
+		if len(line) == 0 { // heartbeat
 			continue
 		}
 		if limit != c.options.Silence {
--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -142,7 +142,7 @@
 		network := netfault.NewPipeNetwork()
 		defer rawServer(t, network, true, func(c net.Conn) {
 			_, _ = io.WriteString(c, head)
-			for range 4 { // signs of life
+			for range 4 { // heartbeats
 				time.Sleep(4 * time.Second)
 				_, _ = io.WriteString(c, piece("\n"))
 			}
--- a/internal/adapter/servicehttp/servicehttp_test.go
+++ b/internal/adapter/servicehttp/servicehttp_test.go
@@ -51,7 +51,7 @@
 		var echo service.Echo
 		assert.NilError(t, json.Unmarshal(resp.Body, &echo))
 		assert.Equal(t, echo, service.Echo{Server: "desk", Key: "k", Path: "/bookings?day=3", Body: "deposit", Run: 1})
-		assert.Equal(t, s.Book().Count("k"), 1)
+		assert.Equal(t, s.Runs().Count("k"), 1)
 
 		outcome, err := client.Call(t.Context(), addr, backend.CallRequest{Method: http.MethodGet, Path: "/outcome?key=k"})
 		assert.NilError(t, err)
@@ -82,7 +82,7 @@
 					_, err = client.Call(t.Context(), addr, req)
 					assert.ErrorIs(t, err, backend.ErrInterrupted)
 					assert.Assert(t, !errors.Is(err, backend.ErrUnreachable))
-					assert.Equal(t, s.Book().Count("k"), 1)
+					assert.Equal(t, s.Runs().Count("k"), 1)
 				})
 			})
 		}
@@ -102,7 +102,7 @@
 				time.AfterFunc(5*time.Millisecond, s.Crash)
 			}
 			_, err := client.Call(t.Context(), addr, call(http.MethodPost, key))
-			runs := s.Book().Count(key)
+			runs := s.Runs().Count(key)
 			switch {
 			case err == nil:
 				assert.Equal(t, runs, 1)
@@ -122,8 +122,8 @@
 		for _, outcome := range []string{"ok", "not sent", "interrupted with runs 0", "interrupted with runs 1"} {
 			assert.Assert(t, seen[outcome] > 0, "%s did not happen: %v", outcome, seen)
 		}
-		assert.Equal(t, len(s.Book().Repeated()), 0)
-		runs := s.Book().Runs()
+		assert.Equal(t, len(s.Runs().Repeated()), 0)
+		runs := s.Runs().All()
 		assert.Assert(t, slices.IsSortedFunc(runs, func(a, b service.Run) int { return int(a.Number) - int(b.Number) }))
 	})
 }
@@ -162,6 +162,6 @@
 		_, err = client.Call(t.Context(), addr, call(http.MethodPost, "2"))
 		assert.ErrorIs(t, err, backend.ErrRefused)
 		assert.NilError(t, <-first)
-		assert.Equal(t, s.Book().Count("2"), 0)
+		assert.Equal(t, s.Runs().Count("2"), 0)
 	})
 }
--- a/internal/standin/engine/cache_test.go
+++ b/internal/standin/engine/cache_test.go
@@ -69,9 +69,9 @@
 			}
 			s, err := e.submit(req)
 			assert.NilError(t, err)
-			patience := time.Duration(1+random.IntN(3000)) * time.Millisecond
+			timeout := time.Duration(1+random.IntN(3000)) * time.Millisecond
 			all.Go(func() {
-				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				ctx, cancel := context.WithTimeout(t.Context(), timeout)
 				defer cancel()
 				for !s.finished.Load() && ctx.Err() == nil {
 					select {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -9,7 +9,7 @@
 // The protocol is JSON over HTTP/1.1:
 //
 //	POST /v1/generate           backend.GenerateRequest; the answer has one backend.Chunk per token and line, the
-//	                            last with finish_reason and usage; an empty line is a sign of life while the
+//	                            last with finish_reason and usage; an empty line is a heartbeat while the
 //	                            request waits or is prefilled
 //	GET  /v1/load               backend.Load
 //	GET  /v1/cache-events       list of backend.CacheEvent with a sequence greater than the parameter after
@@ -49,7 +49,7 @@
 const (
 	// prefillChunkTokens is the most prompt work of one step; it bounds how long a prompt delays running sequences.
 	prefillChunkTokens = 512
-	// heartbeatInterval is the time between signs of life to requests that have no token yet.
+	// heartbeatInterval is the time between heartbeats to requests that have no token yet.
 	heartbeatInterval = time.Second
 	// stepSlack is how far the loop may fall behind its schedule before it stops catching up.
 	stepSlack = 5 * time.Millisecond
@@ -86,9 +86,9 @@
 	CacheEventLoss float64
 	// RestartAfter restarts the engine this long after a poisoned request crashed it; 0 leaves it down.
 	RestartAfter time.Duration
-	// Ledger is shared by the engines of a fleet to count recomputed tokens exactly; nil means attempts above 1
+	// Tracker is shared by the engines of a fleet to count recomputed tokens exactly; nil means attempts above 1
 	// count as recomputation of all that they prefill.
-	Ledger *Ledger
+	Tracker *RecomputeTracker
 	// Listen opens listeners; nil means TCP.
 	Listen netfault.ListenFunc
 }
@@ -178,7 +178,7 @@
 	done    int // prefilled tokens
 	active  bool
 	ended   bool
-	record  ledgerRecord
+	record  progressRecord
 
 	position atomic.Uint32 // tokens of the answer so far, resumed ones included
 	finished atomic.Bool   // set after usage and the last position
@@ -355,7 +355,7 @@
 	s.cached = cached
 	s.prefill = total - cached
 	s.active = true
-	s.record = e.options.Ledger.attempt(s.request.ID)
+	s.record = e.options.Tracker.attempt(s.request.ID)
 	e.running = append(e.running, s)
 	e.stats.Runs++
 	e.stats.CachedTokens += uint64(cached)
@@ -434,10 +434,10 @@
 	if s.prefill == 0 {
 		computed = s.prompt + int(s.position.Load())
 	}
-	e.options.Ledger.note(s.request.ID, computed, s.position.Load())
+	e.options.Tracker.note(s.request.ID, computed, s.position.Load())
 }
 
-// signalWaiting makes the handlers of requests without a token send a sign of life.
+// signalWaiting makes the handlers of requests without a token send a heartbeat.
 func (e *Engine) signalWaiting() {
 	for _, s := range e.waiting {
 		s.signal()
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -199,7 +199,7 @@
 // Guards against a moved stream that is prefilled again although its KV cache was imported.
 func TestImportedKVCacheIsNotRecomputed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 2, engine.Options{Ledger: engine.NewLedger()})
+		f := newFleet(t, 2, engine.Options{Tracker: engine.NewRecomputeTracker()})
 		defer f.close()
 		req := backend.GenerateRequest{ID: "r", Attempt: 1, Model: "m", Prompt: words(1000, "keel"), MaxTokens: 60}
 		want, _ := engine.Answer(req)
@@ -230,7 +230,7 @@
 // Guards against recomputed tokens that are not counted.
 func TestRecomputedTokensAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 2, engine.Options{Ledger: engine.NewLedger()})
+		f := newFleet(t, 2, engine.Options{Tracker: engine.NewRecomputeTracker()})
 		defer f.close()
 		req := backend.GenerateRequest{ID: "r", Attempt: 1, Model: "m", Prompt: words(100, "keel"), MaxTokens: 60}
 		first, _, err := f.generate(t.Context(), 0, req, 40)
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -278,9 +278,9 @@
 	s.done += tokens
 	e.stats.PrefilledTokens += uint64(tokens)
 	switch {
-	case e.options.Ledger == nil && s.request.Attempt > 1:
+	case e.options.Tracker == nil && s.request.Attempt > 1:
 		e.stats.RecomputedTokens += uint64(tokens)
-	case e.options.Ledger != nil:
+	case e.options.Tracker != nil:
 		// Tokens are computed in order, so those below the earlier attempts' count are computed again.
 		before := s.cached + s.done - tokens
 		e.stats.RecomputedTokens += uint64(max(0, min(s.cached+s.done, s.record.computed)-before))
@@ -294,36 +294,38 @@
 	}
 }
 
-// maxLedgerRecords bounds the memory of a Ledger.
-const maxLedgerRecords = 1 << 17
+// maxProgressRecords bounds the memory of a RecomputeTracker.
+const maxProgressRecords = 1 << 17
 
-// Ledger remembers how far any engine got with each response. Engines of one process share it, to count recomputed
-// tokens. A nil Ledger remembers nothing.
-type Ledger struct {
+// RecomputeTracker remembers how far any engine got with each response. Engines of one process share it, to count recomputed
+// tokens. A nil RecomputeTracker remembers nothing.
+type RecomputeTracker struct {
 	mu      sync.Mutex
-	records map[string]ledgerRecord
+	records map[string]progressRecord
 	order   []string // oldest first
 }
 
-// ledgerRecord has the tokens of prompt and resume that an attempt has computed, and the position it reached.
-type ledgerRecord struct {
+// progressRecord has the tokens of prompt and resume that an attempt has computed, and the position it reached.
+type progressRecord struct {
 	computed  int
 	generated uint32
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{records: map[string]ledgerRecord{}} }
+// NewRecomputeTracker returns an empty tracker.
+func NewRecomputeTracker() *RecomputeTracker {
+	return &RecomputeTracker{records: map[string]progressRecord{}}
+}
 
-func (l *Ledger) attempt(id string) ledgerRecord {
+func (l *RecomputeTracker) attempt(id string) progressRecord {
 	if l == nil {
-		return ledgerRecord{}
+		return progressRecord{}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.records[id]
 }
 
-func (l *Ledger) note(id string, computed int, generated uint32) {
+func (l *RecomputeTracker) note(id string, computed int, generated uint32) {
 	if l == nil {
 		return
 	}
@@ -331,11 +333,11 @@
 	defer l.mu.Unlock()
 	old, known := l.records[id]
 	if !known {
-		if len(l.order) >= maxLedgerRecords {
+		if len(l.order) >= maxProgressRecords {
 			delete(l.records, l.order[0])
 			l.order = l.order[1:]
 		}
 		l.order = append(l.order, id)
 	}
-	l.records[id] = ledgerRecord{max(old.computed, computed), max(old.generated, generated)}
+	l.records[id] = progressRecord{max(old.computed, computed), max(old.generated, generated)}
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -39,9 +39,9 @@
 	// that it is closed before the call runs.
 	DropAfter  float64
 	DropBefore float64
-	// Book is shared by the servers of one service, which then answer for each other's outcomes; nil means a book of
+	// Runs is shared by the servers of one service, which then answer for each other's outcomes; nil means a log of
 	// its own.
-	Book *Book
+	Runs *RunLog
 	// Listen opens listeners; nil means TCP.
 	Listen netfault.ListenFunc
 }
@@ -53,7 +53,7 @@
 
 // Run is one run of a call.
 type Run struct {
-	Number uint64 `json:"number"` // order of all runs in the book
+	Number uint64 `json:"number"` // order of all runs in the log
 	Server string `json:"server"`
 	Key    string `json:"key,omitempty"`
 	Method string `json:"method"`
@@ -74,50 +74,50 @@
 	Key    string `json:"key,omitempty"`
 	Path   string `json:"path"`
 	Body   string `json:"body,omitempty"`
-	Run    uint64 `json:"run"` // order of all runs in the book
+	Run    uint64 `json:"run"` // order of all runs in the log
 }
 
-// Book records runs like the database behind a service: a crash of a server does not lose it.
-type Book struct {
+// RunLog records runs like the database behind a service: a crash of a server does not lose it.
+type RunLog struct {
 	mu   sync.Mutex
 	runs []Run
 	keys map[string][]int // indexes in runs
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{keys: map[string][]int{}} }
+// NewRunLog returns an empty log.
+func NewRunLog() *RunLog { return &RunLog{keys: map[string][]int{}} }
 
-func (b *Book) add(r Run) Run {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r.Number = uint64(len(b.runs) + 1)
+func (l *RunLog) add(r Run) Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Number = uint64(len(l.runs) + 1)
 	if r.Key != "" {
-		b.keys[r.Key] = append(b.keys[r.Key], len(b.runs))
+		l.keys[r.Key] = append(l.keys[r.Key], len(l.runs))
 	}
-	b.runs = append(b.runs, r)
+	l.runs = append(l.runs, r)
 	return r
 }
 
-// Runs returns all runs in their order.
-func (b *Book) Runs() []Run {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return slices.Clone(b.runs)
+// All returns all runs in their order.
+func (l *RunLog) All() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.runs)
 }
 
 // Count returns how often calls with a key ran.
-func (b *Book) Count(key string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.keys[key])
+func (l *RunLog) Count(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.keys[key])
 }
 
 // Repeated returns the keys that ran more than once, sorted.
-func (b *Book) Repeated() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (l *RunLog) Repeated() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var keys []string
-	for key, runs := range b.keys {
+	for key, runs := range l.keys {
 		if len(runs) > 1 {
 			keys = append(keys, key)
 		}
@@ -126,14 +126,14 @@
 	return keys
 }
 
-func (b *Book) outcome(key string) (Outcome, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	runs := b.keys[key]
+func (l *RunLog) outcome(key string) (Outcome, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	runs := l.keys[key]
 	if len(runs) == 0 {
 		return Outcome{}, false
 	}
-	return Outcome{key, len(runs), echoOf(b.runs[runs[0]])}, true
+	return Outcome{key, len(runs), echoOf(l.runs[runs[0]])}, true
 }
 
 func echoOf(r Run) Echo { return Echo{r.Server, r.Key, r.Path, string(r.Body), r.Number} }
@@ -142,7 +142,7 @@
 type Service struct {
 	options Options
 	net     *netfault.Server
-	book    *Book
+	runs    *RunLog
 
 	lifecycle sync.Mutex // held for the whole of Crash and Restart; taken before mu
 
@@ -159,14 +159,14 @@
 
 // New returns a service.
 func New(o Options) *Service {
-	if o.Book == nil {
-		o.Book = NewBook()
+	if o.Runs == nil {
+		o.Runs = NewRunLog()
 	}
 	name := fnv.New64a()
 	_, _ = name.Write([]byte(o.Name))
 	s := &Service{
 		options:    o,
-		book:       o.Book,
+		runs:       o.Runs,
 		dead:       make(chan struct{}),
 		random:     rand.New(rand.NewPCG(o.Seed, name.Sum64())),
 		dropAfter:  o.DropAfter,
@@ -186,8 +186,8 @@
 // Addr returns the address of Listen.
 func (s *Service) Addr() string { return s.net.Addr() }
 
-// Book returns the record of runs.
-func (s *Service) Book() *Book { return s.book }
+// Runs returns the record of runs.
+func (s *Service) Runs() *RunLog { return s.runs }
 
 // Close ends the service and its connections.
 func (s *Service) Close() {
@@ -203,7 +203,7 @@
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET /outcome":
-		outcome, ok := s.book.outcome(r.URL.Query().Get("key"))
+		outcome, ok := s.runs.outcome(r.URL.Query().Get("key"))
 		if !ok {
 			http.Error(w, "the key never ran", http.StatusNotFound)
 			return
@@ -232,7 +232,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	// The run counts from here on, whatever becomes of the connection.
-	run := s.book.add(Run{
+	run := s.runs.add(Run{
 		Server: s.options.Name,
 		Key:    r.Header.Get("Idempotency-Key"),
 		Method: r.Method,
@@ -279,7 +279,7 @@
 	return backend.Load{Running: uint32(s.running), StartedUnixMillis: s.started}
 }
 
-// Crash closes all connections and refuses new ones until Restart. The book is kept.
+// Crash closes all connections and refuses new ones until Restart. The run log is kept.
 func (s *Service) Crash() {
 	s.lifecycle.Lock()
 	defer s.lifecycle.Unlock()
