Outcome queries of the service stand-in return the answer of the first run

The node stores what the query returns as the outcome of the call, so the form must be that of the answer. A test loses every answer of the service and gets the outcome of the one run on two nodes.

--- a/internal/devcluster/failure_test.go
+++ b/internal/devcluster/failure_test.go
@@ -205,3 +205,18 @@
 		}
 	}
 }
+
+// Guards against a booking whose answer was lost on the way: the service is asked for the outcome, so that the caller
+// gets the answer of the one run.
+func TestLostServiceAnswerIsFetched(t *testing.T) {
+	c := startCluster(t)
+	c.Standins.faultDrop(FaultRequest{DropPercent: 100})
+	booking := step{node: 0, method: "POST", path: "/s/booking/bookings", token: shopToken,
+		header: map[string]string{"Idempotency-Key": "lost"}, body: `{"board":1}`}
+	answer, transcript, _ := c.do(t, booking)
+	assert.Assert(t, strings.Contains(transcript, "200 code="), transcript)
+	booking.node = 1
+	again, _, _ := c.do(t, booking)
+	assert.Equal(t, again, answer)
+	assert.DeepEqual(t, c.Standins.Stats().Runs["booking"], map[string]int{"shop/lost": 1})
+}
--- a/internal/devcluster/faults.go
+++ b/internal/devcluster/faults.go
@@ -202,9 +202,9 @@
 	for name, e := range s.engines {
 		out.Engines[name] = e.Stats()
 	}
-	for group, book := range s.books {
+	for group, runLog := range s.runs {
 		runs := map[string]int{}
-		for _, run := range book.Runs() {
+		for _, run := range runLog.All() {
 			if run.Key != "" {
 				runs[run.Key]++
 			}
--- a/internal/devcluster/standins.go
+++ b/internal/devcluster/standins.go
@@ -57,8 +57,8 @@
 	Platform *standin.Platform
 	seed     uint64
 	log      *logrus.Entry
-	books    map[string]*service.Book // by backend server group
-	ledger   *engine.Ledger
+	runs     map[string]*service.RunLog // by backend server group
+	tracker  *engine.RecomputeTracker
 	http     []*http.Server
 	addr     string // of the platform
 
@@ -77,8 +77,8 @@
 	out := &Standins{
 		seed:     s.Seed,
 		log:      log,
-		books:    map[string]*service.Book{},
-		ledger:   engine.NewLedger(),
+		runs:     map[string]*service.RunLog{},
+		tracker:  engine.NewRecomputeTracker(),
 		servers:  map[string]backendServer{},
 		engines:  map[string]*engine.Engine{},
 		settings: map[string]*pb.StandinServer{},
@@ -227,7 +227,7 @@
 		CacheEventDelay:        cacheEventDelay,
 		CacheEventLoss:         cacheEventLoss,
 		RestartAfter:           restartAfter,
-		Ledger:                 s.ledger,
+		Tracker:                s.tracker,
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -238,12 +238,12 @@
 func (s *Standins) newService(settings *pb.StandinServer) *service.Service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	book := s.books[settings.BackendGroup]
-	if book == nil {
-		book = service.NewBook()
-		s.books[settings.BackendGroup] = book
+	runLog := s.runs[settings.BackendGroup]
+	if runLog == nil {
+		runLog = service.NewRunLog()
+		s.runs[settings.BackendGroup] = runLog
 	}
-	return service.New(service.Options{Name: settings.Name, Seed: s.seed, Delay: serviceDelay, Book: book})
+	return service.New(service.Options{Name: settings.Name, Seed: s.seed, Delay: serviceDelay, Runs: runLog})
 }
 
 // launch starts the server of an instance that the cloud API was asked for. It copies the settings of a server of the
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -2,7 +2,7 @@
 // whether a call ran more than once, and never suppresses a repeated run itself.
 //
 //	ANY /...              runs the call: after the delay it answers 200 with the body and key of the request
-//	GET /outcome?key=KEY  Outcome of the key; 404 when the key never ran
+//	GET /outcome?key=KEY  answer of the key's first run; 404 when the key never ran
 //	GET /v1/load          backend.Load
 //
 // Status 503 means that the call was refused and did not run.
@@ -61,13 +61,6 @@
 	Body   []byte `json:"body,omitempty"`
 }
 
-// Outcome is what a service knows of a key.
-type Outcome struct {
-	Key  string `json:"key"`
-	Runs int    `json:"runs"`
-	Echo Echo   `json:"echo"` // answer of the first run
-}
-
 // Echo is the answer to a call.
 type Echo struct {
 	Server string `json:"server"`
@@ -126,14 +119,15 @@
 	return keys
 }
 
-func (l *RunLog) outcome(key string) (Outcome, bool) {
+// outcome returns the answer of the key's first run.
+func (l *RunLog) outcome(key string) (Echo, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	runs := l.keys[key]
 	if len(runs) == 0 {
-		return Outcome{}, false
+		return Echo{}, false
 	}
-	return Outcome{key, len(runs), echoOf(l.runs[runs[0]])}, true
+	return echoOf(l.runs[runs[0]]), true
 }
 
 func echoOf(r Run) Echo { return Echo{r.Server, r.Key, r.Path, string(r.Body), r.Number} }
