--- a/pkg/claim/attempt.go
+++ b/pkg/claim/attempt.go
@@ -130,13 +130,15 @@
 			if !st.uncertain {
 				c.setOthersRow(st.e, true)
 			}
-			if v := c.readBack(ctx, storeCtx, st); v.kind != tryAgain {
-				return v
-			}
 		case !errors.Is(err, platform.ErrUnavailable):
 			st.written = true
 			st.uncertain = true
 		}
+		if !errors.Is(err, platform.ErrUnavailable) {
+			if v := c.readBack(ctx, storeCtx, st); v.kind != tryAgain {
+				return v
+			}
+		}
 		if !pause(storeCtx, wait) || !c.isClaiming(st.e) {
 			return verdict{kind: answer, err: c.errNotClaimed(st.e)}
 		}
@@ -184,7 +186,7 @@
 	return code.New(code.ClaimStoreUnavailable, "the claim was not confirmed in time").After(c.o.RetryAfter)
 }
 
-// readBack reads the row after a conflict.
+// readBack reads the row after a conflict or an unknown outcome.
 func (c *Claims) readBack(ctx, storeCtx context.Context, st *claimState) verdict {
 	r, err := c.o.Table.Get(storeCtx, TableName, st.e.key)
 	if err != nil {
--- a/pkg/claim/background.go
+++ b/pkg/claim/background.go
@@ -96,11 +96,14 @@
 		t.end()
 		return
 	}
-	if errors.Is(err, errConflict) {
-		go t.readBack()
+	if errors.Is(err, platform.ErrUnavailable) {
+		t.later()
 		return
 	}
-	t.later()
+	if errors.Is(err, errConflict) {
+		t.conflicts++
+	}
+	go t.readBack()
 }
 
 // later tries again after an exponential delay with jitter.
@@ -110,9 +113,8 @@
 	time.AfterFunc(wait, t.try)
 }
 
-// readBack finds out why the condition failed.
+// readBack finds out why the condition failed, or whether a write of unknown outcome took effect.
 func (t *task) readBack() {
-	t.conflicts++
 	if t.conflicts > maxTaskConflicts {
 		t.end()
 		return
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -208,7 +208,9 @@
 }
 
 // rowKey escapes both parts, since callers may choose any bytes for the key.
-func rowKey(workspace, key string) string { return url.PathEscape(workspace) + "/" + url.PathEscape(key) }
+func rowKey(workspace, key string) string {
+	return url.PathEscape(workspace) + "/" + url.PathEscape(key)
+}
 
 func (c *Claims) shard(key string) *shard {
 	return &c.shards[maphash.String(c.seed, key)%shardCount]
--- /dev/null
+++ b/pkg/claim/claim_test.go
@@ -0,0 +1,363 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/internal/standin/table"
+	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/platform"
+)
+
+// scenario runs a test with two nodes in virtual time.
+func scenario(t *testing.T, f func(t *testing.T, c *cluster, a, b *testNode)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 2)
+		f(t, c, c.nodes[0], c.nodes[1])
+		c.settle()
+	})
+}
+
+// Guards against a resend that runs again, on the same node or another one, before and after the row is DONE.
+func TestResendGetsStoredOutcome(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		first, _, err := c.do(t.Context(), a, "k", 1, behaviour{})
+		assert.NilError(t, err)
+		for _, n := range []*testNode{a, b, a, b} {
+			out, _, err := c.do(t.Context(), n, "k", 1, behaviour{})
+			assert.NilError(t, err)
+			assert.DeepEqual(t, out, first)
+			time.Sleep(DefaultKeep)
+		}
+		assert.Equal(t, c.service.runsOf("k"), 1)
+		assert.Equal(t, c.storedRow(t, "k").State, pb.ClaimRow_DONE)
+		assert.Equal(t, string(c.storedRow(t, "k").Outcome.Body), string(first.Body))
+	})
+}
+
+// Guards against a key that serves the outcome of another request.
+func TestOtherDigestIsRefused(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		_, _, err := c.do(t.Context(), a, "k", 1, behaviour{})
+		assert.NilError(t, err)
+		for _, n := range []*testNode{a, b} {
+			_, _, err = c.do(t.Context(), n, "k", 2, behaviour{})
+			expect(t, err, code.IdempotencyKeyReused, code.RanNo)
+		}
+		assert.Equal(t, c.service.runsOf("k"), 1)
+	})
+}
+
+// Guards against a claim that is taken for failed, or sent twice, when only the answer of its write was lost.
+func TestLostAnswer(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, _ *testNode) {
+		a.store.SetFaults(table.Faults{LostPercent: 100})
+		_, _, err := c.do(t.Context(), a, "k", 1, behaviour{})
+		assert.NilError(t, err)
+		assert.Equal(t, c.service.runsOf("k"), 1)
+		assert.NilError(t, a.Drain(t.Context()))
+		assert.Equal(t, c.storedRow(t, "k").State, pb.ClaimRow_DONE)
+	})
+}
+
+// Guards against a stale "not found" that is taken as proof that a lost write did not take effect.
+func TestLostAnswerAndStaleReads(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		a.store.SetFaults(table.Faults{LostPercent: 100, StalePercent: 100, MaxStale: 30 * time.Second})
+		_, ran, err := c.do(t.Context(), a, "k", 1, behaviour{})
+		if err != nil {
+			expect(t, err, code.ClaimStoreUnavailable, code.RanNo)
+			assert.Assert(t, !ran())
+		}
+		a.store.SetFaults(table.Faults{})
+		assert.NilError(t, a.Drain(t.Context()))
+		_, _, err = c.do(t.Context(), b, "k", 1, behaviour{})
+		assert.NilError(t, err)
+		assert.Equal(t, c.service.runsOf("k"), 1)
+	})
+}
+
+// Guards against "not run" after more than the store timeout, and against a row of it that blocks the key later.
+func TestStoreDown(t *testing.T) {
+	for _, outage := range []table.Outage{table.Refusing, table.Hanging} {
+		scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+			a.store.SetFaults(table.Faults{Outage: outage})
+			begun := time.Now()
+			_, ran, err := c.do(t.Context(), a, "k", 1, behaviour{})
+			expect(t, err, code.ClaimStoreUnavailable, code.RanNo)
+			assert.Assert(t, time.Since(begun) <= DefaultStoreTimeout, "took %v", time.Since(begun))
+			time.Sleep(time.Minute)
+			assert.Assert(t, !ran())
+			a.store.SetFaults(table.Faults{})
+			assert.NilError(t, a.Drain(t.Context()))
+			_, _, err = c.do(t.Context(), b, "k", 1, behaviour{})
+			assert.NilError(t, err)
+			assert.Equal(t, c.service.runsOf("k"), 1)
+		})
+	}
+}
+
+// Guards against a late write of an attempt whose caller was told "not run": it must neither run nor block the key,
+// whether the resend comes before or after the write takes effect.
+func TestLateWriteAfterNotRun(t *testing.T) {
+	for _, resendAfter := range []time.Duration{0, time.Minute} {
+		scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+			a.store.SetFaults(table.Faults{LatePercent: 100, MaxLate: 30 * time.Second})
+			_, ran, err := c.do(t.Context(), a, "k", 1, behaviour{})
+			expect(t, err, code.ClaimStoreUnavailable, code.RanNo)
+			a.store.SetFaults(table.Faults{Outage: table.Hanging}) // the cancellation cannot be written
+			time.Sleep(resendAfter)
+			if resendAfter > 0 {
+				assert.Equal(t, c.storedRow(t, "k").State, pb.ClaimRow_DISPATCHED, "the late write has not taken effect")
+			}
+			out, _, err := c.do(t.Context(), b, "k", 1, behaviour{})
+			assert.NilError(t, err)
+			time.Sleep(time.Minute)
+			a.store.SetFaults(table.Faults{})
+			assert.NilError(t, a.Drain(t.Context()))
+			assert.Assert(t, !ran())
+			assert.Equal(t, c.service.runsOf("k"), 1)
+			assert.Equal(t, string(c.storedRow(t, "k").Outcome.Body), string(out.Body))
+		})
+	}
+}
+
+// pausingTable moves a node's clock ahead after a commit that took effect, as a pause of the process would.
+type pausingTable struct {
+	platform.Table
+	once  sync.Once
+	pause func()
+}
+
+func (p *pausingTable) Commit(ctx context.Context, m []platform.Mutation) ([]uint64, error) {
+	versions, err := p.Table.Commit(ctx, m)
+	p.once.Do(p.pause)
+	return versions, err
+}
+
+// Guards against an attempt that is sent minutes after its claim because no timer has fired during a pause.
+func TestHolderPausedBeforeSend(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		a.group.table = &pausingTable{Table: a.store, pause: func() { a.pause(5 * time.Minute) }}
+		_, ran, err := c.do(t.Context(), a, "k", 1, behaviour{})
+		expect(t, err, code.ClaimStoreUnavailable, code.RanNo)
+		assert.Assert(t, !ran())
+		_, _, err = c.do(t.Context(), b, "k", 1, behaviour{})
+		assert.NilError(t, err)
+		assert.NilError(t, a.Drain(t.Context()))
+		assert.Equal(t, c.service.runsOf("k"), 1)
+	})
+}
+
+// Guards against a second run while the holder is paused between send and answer.
+func TestHolderPausedBeforeAnswer(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		answers := make(chan Outcome)
+		go func() {
+			out, _, err := c.do(t.Context(), a, "k", 1, behaviour{delay: 2 * time.Minute})
+			assert.Check(t, err)
+			answers <- out
+		}()
+		time.Sleep(time.Minute)
+		_, _, err := c.do(t.Context(), b, "k", 1, behaviour{})
+		expect(t, err, code.CallInProgress, code.RanUnknown)
+		a.set(false, true)
+		_, _, err = c.do(t.Context(), b, "k", 1, behaviour{})
+		expect(t, err, code.OutcomeUnknown, code.RanUnknown)
+		first := <-answers
+		time.Sleep(time.Second)
+		out, _, err := c.do(t.Context(), b, "k", 1, behaviour{})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, out, first)
+		assert.Equal(t, c.service.runsOf("k"), 1)
+	})
+}
+
+// Guards against two runs when two nodes, and two callers on each, use one key at once.
+func TestSameKeyAtOnce(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		answers := 0
+		for _, n := range []*testNode{a, b, a, b} {
+			wg.Go(func() {
+				_, _, err := c.do(t.Context(), n, "k", 1, behaviour{delay: time.Second})
+				if err != nil {
+					expect(t, err, code.CallInProgress, code.RanUnknown)
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				answers++
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, answers, 2, "both callers of the winning node get the outcome")
+		assert.Equal(t, c.service.runsOf("k"), 1)
+	})
+}
+
+// Guards against a second run, or a "not run", after the holder died with the call dispatched; only the service's
+// positive answer ends the uncertainty.
+func TestNodeDeathAfterDispatch(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		go func() { _, _, _ = c.do(t.Context(), a, "k", 1, behaviour{delay: time.Second}) }()
+		time.Sleep(1500 * time.Millisecond)
+		a.set(true, false)
+		a.store.SetFaults(table.Faults{Outage: table.Hanging})
+		_, _, err := c.do(t.Context(), b, "k", 1, behaviour{})
+		expect(t, err, code.OutcomeUnknown, code.RanUnknown)
+		c.service.queryable = true
+		out, _, err := c.do(t.Context(), b, "k", 1, behaviour{})
+		assert.NilError(t, err)
+		assert.Equal(t, string(out.Body), "1/k/1")
+		assert.NilError(t, b.Drain(t.Context()))
+		assert.Equal(t, c.storedRow(t, "k").State, pb.ClaimRow_DONE)
+		assert.Equal(t, c.service.runsOf("k"), 1)
+	})
+}
+
+// Guards against "not run" after a send whose answer was lost, and against a negative answer of the service that is
+// used although the call may still arrive.
+func TestUnknownAfterSend(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		c.service.queryable = true
+		_, _, err := c.do(t.Context(), a, "lost", 1, behaviour{lostCall: true})
+		expect(t, err, code.OutcomeUnknown, code.RanUnknown)
+		for _, n := range []*testNode{a, b} {
+			_, _, err = c.do(t.Context(), n, "lost", 1, behaviour{})
+			expect(t, err, code.OutcomeUnknown, code.RanUnknown)
+		}
+		assert.Equal(t, c.service.runsOf("lost"), 0)
+		_, _, err = c.do(t.Context(), a, "answer", 1, behaviour{lostAnswer: true})
+		assert.NilError(t, err, "the service knows the outcome")
+	})
+}
+
+// Guards against a key that stays blocked after a call that was not sent, also for a request with another body.
+func TestNothingSent(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		_, _, err := c.do(t.Context(), a, "k", 1, behaviour{unsent: true})
+		expect(t, err, code.NoBackendServer, code.RanNo)
+		assert.NilError(t, a.Drain(t.Context()))
+		assert.Equal(t, c.storedRow(t, "k").State, pb.ClaimRow_CANCELLED)
+		_, _, err = c.do(t.Context(), b, "k", 2, behaviour{})
+		assert.NilError(t, err)
+		assert.Equal(t, c.service.runsOf("k"), 1)
+	})
+}
+
+// Guards against an outcome that is lost because the store was down when the call ended.
+func TestOutcomeIsStoredAfterOutage(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			a.store.SetFaults(table.Faults{Outage: table.Refusing})
+		}()
+		_, _, err := c.do(t.Context(), a, "k", 1, behaviour{delay: time.Second})
+		assert.NilError(t, err)
+		time.Sleep(time.Minute)
+		assert.Equal(t, c.storedRow(t, "k").State, pb.ClaimRow_DISPATCHED)
+		_, _, err = c.do(t.Context(), b, "k", 1, behaviour{})
+		assert.NilError(t, err, "the holder answers from memory")
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, a.Drain(short), context.DeadlineExceeded)
+		a.store.SetFaults(table.Faults{})
+		assert.NilError(t, a.Drain(t.Context()))
+		assert.Equal(t, c.storedRow(t, "k").State, pb.ClaimRow_DONE)
+	})
+}
+
+// Guards against a send after the caller was told that the call did not run because its deadline passed.
+func TestCallerLeavesBeforeSend(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		a.store.SetFaults(table.Faults{MinLatency: 100 * time.Millisecond, MaxLatency: 100 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		_, ran, err := c.do(ctx, a, "k", 1, behaviour{})
+		expect(t, err, code.DeadlineExceeded, code.RanNo)
+		assert.NilError(t, a.Drain(t.Context()))
+		assert.Assert(t, !ran())
+		assert.Equal(t, c.storedRow(t, "k").State, pb.ClaimRow_CANCELLED)
+		_, _, err = c.do(t.Context(), b, "k", 1, behaviour{})
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against unbounded background writes in a long outage.
+func TestOpenCallsAreBounded(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, _ *testNode) {
+		a.o.MaxOpen = 10
+		a.store.SetFaults(table.Faults{Outage: table.Hanging})
+		for i := range 30 {
+			_, _, err := c.do(t.Context(), a, fmt.Sprint(i), 1, behaviour{})
+			expect(t, err, code.ClaimStoreUnavailable, code.RanNo)
+			assert.Assert(t, a.Stats().Background <= 10)
+		}
+		assert.Equal(t, a.Stats().Background, 10)
+		a.store.SetFaults(table.Faults{})
+		assert.NilError(t, a.Drain(t.Context()))
+		assert.Equal(t, a.Stats(), Stats{})
+	})
+}
+
+// Guards against rows that stay after their retention, and against a purge that forgets a key before it.
+func TestPurge(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		purge := func(n *testNode) (deleted int) {
+			for range 5 {
+				d, err := n.Purge(t.Context(), 10)
+				assert.NilError(t, err)
+				deleted += d
+			}
+			return deleted
+		}
+		for i := range 25 {
+			_, _, err := c.do(t.Context(), a, fmt.Sprint(i), 1, behaviour{})
+			assert.NilError(t, err)
+		}
+		time.Sleep(DefaultRetention)
+		assert.Equal(t, purge(a)+purge(b), 0)
+		time.Sleep(expirySlack + time.Minute)
+		_, _, err := c.do(t.Context(), b, "0", 2, behaviour{})
+		assert.NilError(t, err, "an expired row may be replaced")
+		assert.Equal(t, purge(a)+purge(b), 24)
+	})
+}
+
+// Guards against rows of a group that fail together because one of them conflicts, and against more than one
+// transaction per group.
+func TestGroupedWrites(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
+		_, _, err := c.do(t.Context(), b, "3", 9, behaviour{})
+		assert.NilError(t, err)
+		assert.NilError(t, b.Drain(t.Context()))
+		before := c.table.Counts()
+		var wg sync.WaitGroup
+		for i := range 20 {
+			wg.Go(func() {
+				_, _, err := c.do(t.Context(), a, fmt.Sprint(i), 1, behaviour{})
+				if i == 3 {
+					expect(t, err, code.IdempotencyKeyReused, code.RanNo)
+					return
+				}
+				assert.Check(t, err)
+			})
+		}
+		wg.Wait()
+		assert.NilError(t, a.Drain(t.Context()))
+		after := c.table.Counts()
+		assert.Equal(t, after.RowWrites-before.RowWrites, uint64(38), "two row writes per call")
+		// The claims with and without the conflicting row, the outcomes, and the check of the digest, which may
+		// share a transaction with outcomes.
+		assert.Assert(t, after.Commits-before.Commits <= 4, "%d commits", after.Commits-before.Commits)
+	})
+}
