--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -246,6 +246,10 @@
 	defer s.mu.Unlock()
 	s.dropOld(c.o.Now())
 	if e := s.entries[key]; e != nil {
+		if e.digest != call.Digest && e.phase == claiming {
+			// The key may belong to either digest until the claim is confirmed.
+			return nil, false, c.errInProgress()
+		}
 		if e.digest != call.Digest {
 			return nil, false, errKeyReused()
 		}
--- /dev/null
+++ b/pkg/claim/random_test.go
@@ -0,0 +1,354 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/internal/standin/table"
+	"github.com/pollenlug/pollenlug/pkg/code"
+)
+
+// TestMain fixes the seed of rapid, so that every run has the same verdict. Another one is set by -rapid.seed.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// Sizes of a random schedule.
+const (
+	planNodes = 3
+	planKeys  = 12
+	planSteps = 40
+	// callsPerStep are begun within a few ms of each other.
+	callsPerStep = 4
+)
+
+// planCall is one call of a schedule.
+type planCall struct {
+	node, key int
+	digest    byte
+	timeout   time.Duration
+	behaviour behaviour
+}
+
+// planStep changes one node's faults, begins calls and lets time pass.
+type planStep struct {
+	node   int
+	fault  int
+	calls  [callsPerStep]planCall
+	passes time.Duration
+}
+
+type plan struct {
+	seed      uint64
+	queryable bool
+	steps     []planStep
+}
+
+func drawPlan(t *rapid.T) plan {
+	p := plan{seed: rapid.Uint64().Draw(t, "seed"), queryable: rapid.Bool().Draw(t, "queryable")}
+	for range planSteps {
+		s := planStep{
+			node:   rapid.IntRange(0, planNodes-1).Draw(t, "node"),
+			fault:  rapid.IntRange(0, len(storeFaults)+3).Draw(t, "fault"),
+			passes: time.Duration(rapid.IntRange(1, 2000).Draw(t, "passes")) * time.Millisecond,
+		}
+		for i := range s.calls {
+			s.calls[i] = drawCall(t)
+		}
+		p.steps = append(p.steps, s)
+	}
+	return p
+}
+
+func drawCall(t *rapid.T) planCall {
+	c := planCall{
+		node: rapid.IntRange(0, planNodes-1).Draw(t, "node"),
+		key:  rapid.IntRange(0, planKeys-1).Draw(t, "key"),
+	}
+	if rapid.IntRange(0, 9).Draw(t, "digest") == 0 {
+		c.digest = 1
+	}
+	c.timeout = time.Duration(rapid.SampledFrom([]int{5, 50, 400, 60_000}).Draw(t, "timeout")) * time.Millisecond
+	c.behaviour = rapid.SampledFrom([]behaviour{
+		{}, {delay: time.Millisecond}, {delay: 300 * time.Millisecond}, {delay: 40 * time.Second},
+		{unsent: true}, {unsent: true}, {lostCall: true}, {lostAnswer: true},
+	}).Draw(t, "behaviour")
+	return c
+}
+
+// storeFaults are the faults of the table service in schedules. The first ones are the most likely draws.
+var storeFaults = []table.Faults{
+	{MinLatency: time.Millisecond, MaxLatency: 9 * time.Millisecond},
+	{MinLatency: time.Millisecond, MaxLatency: 30 * time.Millisecond, LostPercent: 30, StalePercent: 50, MaxStale: 4 * time.Second},
+	{MinLatency: time.Millisecond, MaxLatency: 9 * time.Millisecond, LatePercent: 40, MaxLate: 20 * time.Second, StalePercent: 30, MaxStale: 4 * time.Second},
+	{MinLatency: time.Millisecond, MaxLatency: 600 * time.Millisecond},
+	{LostPercent: 40, LostHangs: true, LatePercent: 20, MaxLate: time.Minute},
+	{Outage: table.Refusing},
+	{Outage: table.Hanging},
+}
+
+// callInput and callOutput are one call in the history of a key.
+type callInput struct{ digest byte }
+
+type callOutput struct {
+	code code.Code
+	ran  code.Ran
+	body string
+}
+
+// history collects the calls of a run.
+type history struct {
+	clock atomic.Int64
+	mu    sync.Mutex
+	ops   map[string][]porcupine.Operation
+	// violations are broken guarantees.
+	violations []string
+	calls      int
+}
+
+func (h *history) violate(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.violations = append(h.violations, fmt.Sprintf(format, args...))
+}
+
+func (h *history) err() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.violations) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%q", h.violations)
+}
+
+// call makes one call and records it. A call that was told "no" is checked again at the end by the returned func.
+func (h *history) call(c *cluster, n *testNode, key string, pc planCall) (recheck func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), pc.timeout)
+	defer cancel()
+	begun := h.clock.Add(1)
+	out, ran, err := c.do(ctx, n, key, pc.digest, pc.behaviour)
+	op := porcupine.Operation{Input: callInput{pc.digest}, Call: begun, Return: h.clock.Add(1)}
+	result := callOutput{body: string(out.Body), ran: code.RanYes}
+	if err != nil {
+		var e *code.Error
+		if !errors.As(err, &e) {
+			h.violate("%s: error without a code: %v", key, err)
+			return func() {}
+		}
+		result = callOutput{code: e.Code, ran: e.Ran}
+		if e.Ran == code.RanUnknown {
+			// The call may run until the end of the history.
+			op.Return = math.MaxInt64
+		}
+	}
+	op.Output = result
+	h.mu.Lock()
+	h.calls++
+	op.ClientId = h.calls
+	h.ops[key] = append(h.ops[key], op)
+	h.mu.Unlock()
+	recheck = func() {
+		if result.ran == code.RanNo && ran() {
+			h.violate("%s: a call that ran was told %v with ran:no", key, result.code)
+		}
+	}
+	recheck()
+	return recheck
+}
+
+// keyState is the model of one key: whether a call ran, with which digest, and its outcome if it was seen.
+type keyState struct {
+	ran    bool
+	digest byte
+	body   string
+}
+
+// keyModel allows one run per key. A call with an unknown result may have run or not.
+var keyModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{keyState{}} },
+	Step: func(state, in, out any) (next []any) {
+		for _, s := range stepKey(state.(keyState), in.(callInput), out.(callOutput)) {
+			next = append(next, s)
+		}
+		return next
+	},
+}).ToModel()
+
+func stepKey(s keyState, in callInput, out callOutput) []keyState {
+	after := keyState{ran: true, digest: in.digest, body: out.body}
+	switch {
+	case out.code == code.OK:
+		if s.ran && (s.digest != in.digest || s.body != "" && s.body != out.body) {
+			return nil
+		}
+		return []keyState{after}
+	case out.code == code.IdempotencyKeyReused && s.ran && s.digest == in.digest:
+		return nil
+	case out.ran == code.RanUnknown && !s.ran:
+		return []keyState{s, after}
+	}
+	return []keyState{s}
+}
+
+// runPlan runs a schedule in virtual time and returns the first broken guarantee.
+func runPlan(p plan) (h *history, err error) {
+	h = &history{ops: map[string][]porcupine.Operation{}}
+	c := newCluster(p.seed, planNodes)
+	c.service.queryable = p.queryable
+	live := append([]*testNode(nil), c.nodes...)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var rechecks []func()
+	for _, s := range p.steps {
+		applyFault(c, live, s)
+		for i, pc := range s.calls {
+			n := live[pc.node]
+			wg.Go(func() {
+				// Calls of one step begin at distinct times, so that their order does not depend on the scheduler.
+				time.Sleep(time.Duration(i)*1300*time.Microsecond + time.Duration(pc.key)*time.Nanosecond)
+				recheck := h.call(c, n, fmt.Sprint("key-", pc.key), pc)
+				mu.Lock()
+				defer mu.Unlock()
+				rechecks = append(rechecks, recheck)
+			})
+		}
+		time.Sleep(s.passes)
+		c.checkRuns(h)
+		if err := h.err(); err != nil {
+			return h, err
+		}
+	}
+	wg.Wait()
+	c.checkEnd(h, live)
+	for _, recheck := range rechecks {
+		recheck()
+	}
+	c.settle()
+	return h, h.err()
+}
+
+// applyFault sets the store faults of a node, cuts it off from its peers, pauses it or replaces it by a new one.
+func applyFault(c *cluster, live []*testNode, s planStep) {
+	n := live[s.node]
+	switch over := s.fault - len(storeFaults); over {
+	case 0:
+		n.set(false, true)
+	case 1:
+		n.set(false, false)
+	case 2:
+		n.pause(3 * time.Minute)
+	case 3:
+		n.set(true, true)
+		n.store.SetFaults(table.Faults{Outage: table.Refusing})
+		live[s.node] = c.start()
+	default:
+		n.store.SetFaults(storeFaults[s.fault])
+	}
+}
+
+func (c *cluster) checkRuns(h *history) {
+	for i := range planKeys {
+		key := fmt.Sprint("key-", i)
+		if n := c.service.runsOf(key); n > 1 {
+			h.violate("%s ran %d times", key, n)
+		}
+	}
+}
+
+// checkEnd ends all faults and checks that outcomes are stored and that no key without a lost call stays blocked.
+func (c *cluster) checkEnd(h *history, live []*testNode) {
+	for _, n := range live {
+		n.set(false, false)
+		n.store.SetFaults(table.Faults{})
+	}
+	time.Sleep(2 * time.Minute)
+	for _, n := range live {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+		if err := n.Drain(ctx); err != nil {
+			h.violate("drain after all faults ended: %v", err)
+		}
+		cancel()
+	}
+	for i := range planKeys {
+		key := fmt.Sprint("key-", i)
+		for digest := range byte(2) {
+			h.call(c, live[i%planNodes], key, planCall{digest: digest, timeout: time.Minute})
+		}
+	}
+	c.checkRuns(h)
+	for _, n := range live {
+		_ = n.Drain(context.Background())
+	}
+	c.checkStored(h)
+}
+
+func (c *cluster) checkStored(h *history) {
+	for i := range planKeys {
+		key := fmt.Sprint("key-", i)
+		r, err := c.table.Get(context.Background(), TableName, rowKey("desk", key))
+		var row pb.ClaimRow
+		if err != nil || proto.Unmarshal(r.Value, &row) != nil {
+			h.violate("%s has no row", key)
+			continue
+		}
+		ran := string(c.service.outcomes[key].Body)
+		switch row.State {
+		case pb.ClaimRow_DONE:
+			if string(row.Outcome.Body) != ran {
+				h.violate("%s: stored %q, ran %q", key, row.Outcome.Body, ran)
+			}
+		case pb.ClaimRow_CANCELLED:
+			h.violate("%s is cancelled after a resend without faults", key)
+		}
+	}
+}
+
+// Guards against any order of store faults, pauses, node deaths and lost calls that makes a key run twice, tells
+// "not run" of a call that ran, serves a wrong outcome or leaves a history that no single run explains.
+func TestRandomSchedules(t *testing.T) {
+	calls, runs := 0, 0
+	results := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt)
+		var h *history
+		var err error
+		synctest.Test(t, func(*testing.T) { h, err = runPlan(p) })
+		if err != nil {
+			rt.Fatalf("table seed %d: %v", p.seed, err)
+		}
+		for key, ops := range h.ops {
+			if !porcupine.CheckOperations(keyModel, ops) {
+				rt.Fatalf("table seed %d: the calls of %s are not linearizable: %+v", p.seed, key, ops)
+			}
+			for _, op := range ops {
+				out := op.Output.(callOutput)
+				results[fmt.Sprintf("%v/%v", out.code, out.ran)]++
+				if out.code == code.OK {
+					runs++
+				}
+			}
+		}
+		calls += h.calls
+	})
+	t.Logf("%d calls, %d outcomes, results %v", calls, runs, results)
+	if !t.Failed() && calls < 10_000 {
+		t.Errorf("only %d calls", calls)
+	}
+}
