--- /dev/null
+++ b/pkg/strike/strike.go
@@ -0,0 +1,536 @@
+// Package strike finds requests that crash the backend servers they run on.
+//
+// When a server crashes, each request in flight on it gets a strike, named by the request's content digest. With one
+// strike a request runs alone, with two it is refused on all nodes. Goal: a request costs at most two servers.
+//
+// A strike is provisional for a short delay and is published at once, so that other nodes isolate the request before
+// the decision. It is withdrawn when the crash turns out to be part of a wave: a reclaim notice, an unreachable
+// network, another crash in the failure domain or two elsewhere within the window. A crash that carries a strike of the
+// same request is no sign of a wave, since that is what a poisonous request looks like. Two strikes of which one is
+// provisional hold the request: it neither runs nor is refused until the decision, which takes longer than gossip needs
+// to reach all nodes. An isolated run that succeeds withdraws the strikes of requests that only ran beside the poison.
+//
+// Records merge by set union: an incident is struck or withdrawn, and withdrawn wins. The merge is commutative and
+// idempotent, whatever the order in which nodes hear of it.
+//
+// Races that remain:
+//   - Copies of a request sent to several nodes at the same moment run before any strike exists. Each may crash one
+//     server. The next ones are held.
+//   - A caller that does not wait for its answer and resends through a node which has not heard of the strike yet (less
+//     than a gossip delay after the crash) costs one server more per such resend.
+//   - On one node, Began refuses a second run of a request with a strike while the first is in flight. Between nodes,
+//     two isolated runs of the same request can overlap.
+//   - Two servers of a failure domain that are lost within the window to one cause, with the same innocent request
+//     retried from the first to the second, look like a poisonous request. Its quarantine ends with the record's expiry.
+//   - An unrelated crash in the same failure domain within the window makes a poisonous request look innocent once. Two
+//     different poisonous requests that crash servers within one window excuse each other for that time.
+package strike
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// State tells how a request may run.
+type State uint8
+
+// The states. Held means that a decision is pending: the request waits and asks again.
+const (
+	Clear State = iota
+	Isolate
+	Held
+	Quarantined
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"clear", "isolate", "held", "quarantined"}[s]
+}
+
+// Options configures a Tracker. Zero values give the defaults.
+type Options struct {
+	// Window is the time within which crashes belong together.
+	Window time.Duration
+	// Delay is the time from a crash to its decision. It must be longer than gossip needs to reach all nodes.
+	Delay time.Duration
+	// Linger is how long after a broken connection a crash of the server still strikes the request.
+	Linger time.Duration
+	// Expiry is how long a record lives after its last change.
+	Expiry time.Duration
+	// MaxRecords bounds the digests with strikes.
+	MaxRecords int
+}
+
+const (
+	defaultWindow     = 2 * time.Second
+	defaultDelay      = 2500 * time.Millisecond
+	defaultLinger     = 3 * time.Second
+	defaultExpiry     = time.Hour
+	defaultMaxRecords = 4096
+	quarantineStrikes = 2
+	maxIncidents      = 16 // of one record, withdrawn ones included
+	maxCrashes        = 4096
+	withdrawnMark     = "-"
+)
+
+// Crash describes a server that went down.
+type Crash struct {
+	Server, Domain string
+	// Started is the server's start time in Unix milliseconds. It tells two crashes of one server apart, and makes the
+	// same crash seen by two nodes count once.
+	Started int64
+	// HadNotice is set when the instance had a reclaim notice; Unreachable when the network to it, and not the server,
+	// may have failed.
+	HadNotice, Unreachable bool
+}
+
+func (c *Crash) incident() string { return c.Server + "#" + strconv.FormatInt(c.Started, 10) }
+
+// Record is the gossiped value of a digest. Servers holds incidents as "SERVER#START"; a leading "-" withdraws one.
+type Record struct {
+	Servers []string
+	// Quarantined is set by a node that has decided on two strikes. It counts only while two are not withdrawn.
+	Quarantined bool
+}
+
+// Change is a record that other nodes should hear of.
+type Change struct {
+	Digest string
+	Record Record
+}
+
+// Tracker holds the strikes one node knows. Its methods may be called from several goroutines; each takes the time.
+type Tracker struct {
+	opts Options
+
+	mu      sync.Mutex
+	running map[string]map[*Run]bool // by server; interrupted runs included
+	flights map[string]int           // by digest
+	// interrupted holds, by digest, the runs whose connection broke and whose server may prove to have crashed.
+	interrupted map[string][]*Run
+	records     map[string]*record
+	crashes     []crash // of the last window and delay
+	changed     map[string]bool
+}
+
+// Outcome tells how a run ended.
+type Outcome uint8
+
+// The outcomes. Completed withdraws the strikes the request had when the run began. After Interrupted, which means that
+// the connection broke, the run can still be struck for a while, since the crash is often noticed later. Abandoned
+// stands for every other end, such as a cancel by the caller or a refusal by the server.
+const (
+	Abandoned Outcome = iota
+	Completed
+	Interrupted
+)
+
+// Run is one run of a request on a server.
+type Run struct {
+	tracker        *Tracker
+	server, digest string
+	began          time.Time
+	interruptedAt  time.Time
+	ended          bool
+}
+
+type record struct {
+	struck      map[string]time.Time // incident to when it was heard of
+	withdrawn   map[string]bool
+	quarantined bool
+	changedAt   time.Time
+}
+
+type crash struct {
+	incident, domain string
+	at               time.Time
+	digests          []string // that got a provisional strike
+	decided          bool
+}
+
+// New returns an empty Tracker.
+func New(opts Options) *Tracker {
+	if opts.Window <= 0 {
+		opts.Window = defaultWindow
+	}
+	if opts.Delay <= 0 {
+		opts.Delay = defaultDelay
+	}
+	if opts.Linger <= 0 {
+		opts.Linger = defaultLinger
+	}
+	if opts.Expiry <= 0 {
+		opts.Expiry = defaultExpiry
+	}
+	if opts.MaxRecords <= 0 {
+		opts.MaxRecords = defaultMaxRecords
+	}
+	return &Tracker{
+		opts:        opts,
+		running:     make(map[string]map[*Run]bool),
+		flights:     make(map[string]int),
+		interrupted: make(map[string][]*Run),
+		records:     make(map[string]*record),
+		changed:     make(map[string]bool),
+	}
+}
+
+// State tells how a request may run now. For Held, wait is the time until the decision.
+func (t *Tracker) State(digest string, now time.Time) (state State, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stateOf(digest, now)
+}
+
+// stateOf counts strikes, and interrupted runs as strikes that may follow.
+func (t *Tracker) stateOf(digest string, now time.Time) (State, time.Duration) {
+	struck, newest := 0, time.Time{}
+	if r := t.records[digest]; r != nil && now.Sub(r.changedAt) < t.opts.Expiry {
+		struck = len(r.struck)
+		for _, at := range r.struck {
+			newest = later(newest, at)
+		}
+		if struck >= quarantineStrikes && (r.quarantined || now.Sub(newest) >= t.opts.Delay) {
+			return Quarantined, 0
+		}
+	}
+	decided := newest.Add(t.opts.Delay)
+	suspected := struck
+	for _, run := range t.interrupted[digest] {
+		if left := run.interruptedAt.Add(t.opts.Linger); left.After(now) {
+			suspected++
+			decided = later(decided, left)
+		}
+	}
+	switch {
+	case suspected == 0:
+		return Clear, 0
+	case suspected < quarantineStrikes:
+		return Isolate, 0
+	}
+	return Held, max(time.Millisecond, decided.Sub(now))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// Began counts a request as in flight on a server. It returns false, and counts nothing, when the request must not run:
+// it is held or quarantined, or it has a strike and is in flight already.
+func (t *Tracker) Began(server, digest string, now time.Time) (*Run, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state, _ := t.stateOf(digest, now)
+	if state >= Held || state == Isolate && t.flights[digest] > 0 {
+		return nil, false
+	}
+	r := &Run{tracker: t, server: server, digest: digest, began: now}
+	if t.running[server] == nil {
+		t.running[server] = make(map[*Run]bool)
+	}
+	t.running[server][r] = true
+	t.flights[digest]++
+	return r, true
+}
+
+// Ended ends a run. Further calls do nothing.
+func (r *Run) Ended(outcome Outcome, now time.Time) {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if t.flights[r.digest]--; t.flights[r.digest] <= 0 {
+		delete(t.flights, r.digest)
+	}
+	if !t.running[r.server][r] {
+		return // the server crashed meanwhile
+	}
+	if outcome == Interrupted {
+		r.interruptedAt = now
+		t.interrupted[r.digest] = append(t.interrupted[r.digest], r)
+		return
+	}
+	t.forget(r)
+	if outcome == Completed {
+		t.withdrawBefore(r.digest, r.began, now)
+	}
+}
+
+// forget drops a run that no crash can strike any more.
+func (t *Tracker) forget(r *Run) {
+	delete(t.running[r.server], r)
+	if len(t.running[r.server]) == 0 {
+		delete(t.running, r.server)
+	}
+	if !r.interruptedAt.IsZero() {
+		left := slices.DeleteFunc(t.interrupted[r.digest], func(other *Run) bool { return other == r })
+		t.interrupted[r.digest] = left
+		if len(left) == 0 {
+			delete(t.interrupted, r.digest)
+		}
+	}
+}
+
+func (t *Tracker) withdrawBefore(digest string, began, now time.Time) {
+	r := t.records[digest]
+	if r == nil {
+		return
+	}
+	for incident, at := range r.struck {
+		if !at.After(began) {
+			t.withdraw(digest, r, incident, now)
+		}
+	}
+}
+
+func (t *Tracker) withdraw(digest string, r *record, incident string, now time.Time) {
+	if r.withdrawn[incident] {
+		return
+	}
+	delete(r.struck, incident)
+	r.withdrawn[incident] = true
+	r.changedAt = now
+	t.changed[digest] = true
+}
+
+// Crashed gives a provisional strike to each request in flight on a server that went down. Tick decides on it later.
+// The same crash may be told again, for example when a notice becomes known: the requests are then cleared of it.
+func (t *Tracker) Crashed(c Crash, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	incident := c.incident()
+	excused := c.HadNotice || c.Unreachable
+	for i := range t.crashes {
+		if t.crashes[i].incident == incident {
+			if excused {
+				t.excuse(&t.crashes[i], now)
+			}
+			return
+		}
+	}
+	event := crash{incident: incident, domain: c.Domain, at: now, decided: excused}
+	for r := range t.running[c.Server] {
+		if !excused && !slices.Contains(event.digests, r.digest) {
+			t.strike(r.digest, incident, now)
+			event.digests = append(event.digests, r.digest)
+		}
+		t.forget(r)
+	}
+	if len(t.crashes) >= maxCrashes {
+		t.crashes = t.crashes[1:]
+	}
+	t.crashes = append(t.crashes, event)
+}
+
+func (t *Tracker) excuse(event *crash, now time.Time) {
+	for _, digest := range event.digests {
+		if r := t.records[digest]; r != nil {
+			t.withdraw(digest, r, event.incident, now)
+		}
+	}
+	event.decided = true
+}
+
+func (t *Tracker) strike(digest, incident string, now time.Time) {
+	r := t.recordOf(digest, now)
+	if r.withdrawn[incident] || len(r.struck)+len(r.withdrawn) >= maxIncidents {
+		return
+	}
+	if _, known := r.struck[incident]; known {
+		return
+	}
+	r.struck[incident] = now
+	r.changedAt = now
+	t.changed[digest] = true
+}
+
+func (t *Tracker) recordOf(digest string, now time.Time) *record {
+	r := t.records[digest]
+	if r == nil || now.Sub(r.changedAt) >= t.opts.Expiry {
+		if r == nil && len(t.records) >= t.opts.MaxRecords {
+			t.evict()
+		}
+		r = &record{struck: make(map[string]time.Time), withdrawn: make(map[string]bool), changedAt: now}
+		t.records[digest] = r
+	}
+	return r
+}
+
+// evict drops the record with the fewest strikes, of those the oldest, so that a flood of single strikes does not lift a
+// quarantine.
+func (t *Tracker) evict() {
+	victim := ""
+	for digest, r := range t.records {
+		v := t.records[victim]
+		if v == nil || len(r.struck) < len(v.struck) || len(r.struck) == len(v.struck) && r.changedAt.Before(v.changedAt) {
+			victim = digest
+		}
+	}
+	delete(t.records, victim)
+	delete(t.changed, victim)
+}
+
+// Tick decides on the crashes whose delay has passed and drops expired records. It should be called a few times a
+// second.
+func (t *Tracker) Tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.crashes {
+		if event := &t.crashes[i]; !event.decided && now.Sub(event.at) >= t.opts.Delay {
+			t.decide(event, now)
+		}
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool {
+		return c.decided && now.Sub(c.at) > t.opts.Window+t.opts.Delay
+	})
+	t.expire(now)
+}
+
+func (t *Tracker) expire(now time.Time) {
+	for digest, r := range t.records {
+		if now.Sub(r.changedAt) >= t.opts.Expiry {
+			delete(t.records, digest)
+			delete(t.changed, digest)
+		}
+	}
+	for _, runs := range t.interrupted {
+		for _, r := range slices.Clone(runs) {
+			if now.Sub(r.interruptedAt) >= t.opts.Linger {
+				t.forget(r)
+			}
+		}
+	}
+}
+
+func (t *Tracker) decide(event *crash, now time.Time) {
+	event.decided = true
+	for _, digest := range event.digests {
+		r := t.records[digest]
+		if r == nil {
+			continue
+		}
+		if t.inWave(event, r) {
+			t.withdraw(digest, r, event.incident, now)
+			continue
+		}
+		if len(r.struck) >= quarantineStrikes && !r.quarantined {
+			r.quarantined = true
+			r.changedAt = now
+			t.changed[digest] = true
+		}
+	}
+}
+
+// inWave tells whether a crash belongs to a wave, as seen from one request: other crashes that the request has no
+// strike from happened within the window, one in the same failure domain or two anywhere. One anywhere is enough when
+// the request has two strikes: three servers at once are a wave that met a retried request.
+func (t *Tracker) inWave(event *crash, r *record) bool {
+	others := 0
+	for i := range t.crashes {
+		other := &t.crashes[i]
+		if other.incident == event.incident || other.at.Sub(event.at).Abs() > t.opts.Window {
+			continue
+		}
+		if _, own := r.struck[other.incident]; own {
+			continue
+		}
+		if other.domain == event.domain {
+			return true
+		}
+		others++
+	}
+	return others >= 2 || others == 1 && len(r.struck) >= quarantineStrikes
+}
+
+// Merge takes the record of a digest heard from another node and reports whether it changed this node's.
+func (t *Tracker) Merge(digest string, heard Record, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(heard.Servers) == 0 {
+		return false
+	}
+	r := t.recordOf(digest, now)
+	changed := false
+	for _, name := range heard.Servers {
+		incident, withdrawn := strings.CutPrefix(name, withdrawnMark)
+		_, struck := r.struck[incident]
+		full := len(r.struck)+len(r.withdrawn) >= maxIncidents
+		switch {
+		case r.withdrawn[incident] || !withdrawn && struck || full && !struck:
+			continue
+		case withdrawn:
+			delete(r.struck, incident)
+			r.withdrawn[incident] = true
+		default:
+			r.struck[incident] = now
+		}
+		changed = true
+	}
+	if heard.Quarantined && !r.quarantined {
+		r.quarantined = true
+		changed = true
+	}
+	if changed {
+		r.changedAt = now
+	}
+	// Several nodes write the same gossip key. What the sender lacked must be published again, or it would be lost.
+	if !sameRecord(r.export(), heard) {
+		t.changed[digest] = true
+	}
+	return changed
+}
+
+func sameRecord(a, b Record) bool {
+	servers := slices.Sorted(slices.Values(b.Servers))
+	return a.Quarantined == b.Quarantined && slices.Equal(a.Servers, slices.Compact(servers))
+}
+
+func (r *record) export() Record {
+	out := Record{Quarantined: r.quarantined}
+	for incident := range r.struck {
+		out.Servers = append(out.Servers, incident)
+	}
+	for incident := range r.withdrawn {
+		out.Servers = append(out.Servers, withdrawnMark+incident)
+	}
+	slices.Sort(out.Servers)
+	return out
+}
+
+// Changes returns the records that changed since the last call, ordered by digest.
+func (t *Tracker) Changes() []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Change
+	for digest := range t.changed {
+		if r := t.records[digest]; r != nil {
+			out = append(out, Change{Digest: digest, Record: r.export()})
+		}
+	}
+	clear(t.changed)
+	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.Digest, b.Digest) })
+	return out
+}
+
+// Quarantines returns the digests that are refused now, ordered.
+func (t *Tracker) Quarantines(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for digest := range t.records {
+		if state, _ := t.stateOf(digest, now); state == Quarantined {
+			out = append(out, digest)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
