--- a/internal/adapter/platformhttp/platformhttp_test.go
+++ b/internal/adapter/platformhttp/platformhttp_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -190,22 +192,35 @@
 	assert.Assert(t, retries >= 10 && retries <= 1+budgetBurst+reads*budgetPerCall, "%d retries", retries)
 }
 
-// Guards against a client that stays on a connection that went silent while new ones work.
-func TestSilentConnection(t *testing.T) {
+// Guards against a client that tries one silent connection after the other while new ones work.
+func TestSilentConnections(t *testing.T) {
+	const connections = 2
 	p := standin.New(standin.Options{})
-	var silent atomic.Value
-	silent.Store("")
+	var known sync.Map // remote addresses of the connections that go silent
+	var together sync.WaitGroup
+	together.Add(connections)
+	var calls atomic.Int64
 	client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.RemoteAddr == silent.Load() {
+		if _, silent := known.Load(r.RemoteAddr); silent {
 			hang(w, r)
 			return
 		}
-		silent.CompareAndSwap("", r.RemoteAddr)
+		if calls.Add(1) <= connections {
+			known.Store(r.RemoteAddr, true)
+			together.Done()
+			together.Wait()
+		}
 		p.ServeHTTP(w, r)
-	}), Timeouts{Table: 200 * time.Millisecond})
+	}), Timeouts{Table: 500 * time.Millisecond})
+	var group sync.WaitGroup
+	for range connections {
+		group.Go(func() {
+			_, err := client.Table().Get(t.Context(), "t", "k")
+			assert.Check(t, errors.Is(err, platform.ErrNotFound), "%v", err)
+		})
+	}
+	group.Wait()
 	_, err := client.Table().Get(t.Context(), "t", "k")
 	assert.ErrorIs(t, err, platform.ErrNotFound)
-	_, err = client.Table().Get(t.Context(), "t", "k")
-	assert.ErrorIs(t, err, platform.ErrNotFound, "the retry did not use a new connection")
-	assert.Equal(t, client.Retries(), uint64(1))
+	assert.Equal(t, client.Retries(), uint64(1), "the retry did not use a new connection")
 }
--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -92,17 +92,24 @@
 	})
 }
 
-// Guards against an accepting write that is counted twice, or forgotten, when its answer is lost.
+// Guards against an accepting write that is counted twice, forgotten, or noticed only by a later pass, when its
+// answer is lost.
 func TestLostAnswer(t *testing.T) {
 	simulate(t, 2, 1, func(ctx context.Context, t *testing.T, c *cluster) {
 		n := c.nodes[0]
-		n.table.SetFaults(table.Faults{LostPercent: 100})
 		c.folder.edit(true)
 		n.alone(ctx, n.table)
+		time.Sleep(3 * time.Second)
+		n.table.SetFaults(table.Faults{LostPercent: 100})
+		c.folder.edit(true)
+		for c.table.Counts().RowWrites < 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(400 * time.Millisecond)
+		assert.Equal(t, n.version(), uint64(2), "the write was not read back")
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, n.version(), uint64(1))
-		assert.Equal(t, c.table.Counts().RowWrites, uint64(1))
-		assert.Assert(t, n.store.Status().Counts.RowWrites > 1, "the write was never repeated")
+		assert.Equal(t, c.table.Counts().RowWrites, uint64(2))
+		assert.Assert(t, n.store.Status().Counts.RowWrites > 2, "the write was never repeated")
 	})
 }
 
