--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -105,6 +105,7 @@
 		for c.table.Counts().RowWrites < 2 {
 			time.Sleep(10 * time.Millisecond)
 		}
+		n.table.SetFaults(table.Faults{}) // so that the repeat gets its answer, a conflict
 		time.Sleep(400 * time.Millisecond)
 		assert.Equal(t, n.version(), uint64(2), "the write was not read back")
 		time.Sleep(10 * time.Second)
