--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -159,6 +159,32 @@
 	assert.ErrorIs(t, err, ErrDigest)
 }
 
+// BenchmarkMerge measures a folder of the target size: a few hundred workspaces.
+func BenchmarkMerge(b *testing.B) {
+	var text strings.Builder
+	for i := range 300 {
+		fmt.Fprintf(&text, `%s{"name": "w%d", "token_sha256": ["%s"]}`, strings.Repeat(",", min(i, 1)), i, Digest(fmt.Append(nil, i)))
+	}
+	files := map[string][]byte{"10.json": []byte(base), "20.json": []byte(`{"workspaces": [` + text.String() + `]}`)}
+	for b.Loop() {
+		merged, _ := Merge(files)
+		NewIndex(&pb.Snapshot{Merged: merged})
+	}
+}
+
+// BenchmarkLookup measures what each request pays: workspace, model and route.
+func BenchmarkLookup(b *testing.B) {
+	merged, _ := Merge(map[string][]byte{"10.json": []byte(base)})
+	x := NewIndex(&pb.Snapshot{Merged: merged})
+	service, _ := x.Service("booking")
+	b.ReportAllocs()
+	for b.Loop() {
+		x.Workspace("council-token")
+		x.Model("quote-small:harbour")
+		service.Route("POST", "/bookings/7")
+	}
+}
+
 // FuzzMerge guards against panics, faults without a place, and a merged result that is not itself valid.
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte(base), []byte(`{"delete": ["models/quote-small"]}`))
--- a/pkg/configstore/harness_test.go
+++ b/pkg/configstore/harness_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -232,22 +233,13 @@
 	var out []string
 	for len(out) < min(count, len(n.c.nodes)-1) {
 		other := n.c.nodes[n.draw(len(n.c.nodes))]
-		if other != n && !contains(out, other.name) {
+		if other != n && !slices.Contains(out, other.name) {
 			out = append(out, other.name)
 		}
 	}
 	return out
 }
 
-func contains(names []string, name string) bool {
-	for _, other := range names {
-		if other == name {
-			return true
-		}
-	}
-	return false
-}
-
 // FetchConfig implements Peers.
 func (n *node) FetchConfig(ctx context.Context, name string, fetch *pb.ConfigFetch) (*pb.ConfigState, error) {
 	if !sleep(ctx, 2*n.c.latency) {
--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -92,8 +92,8 @@
 }
 
 // DefaultTiming gives, for 400 nodes of which 3 read the folder, 3 folder reads/s and 14 row reads/s, of the
-// about 2,000 reads/s that the platform allows all nodes. With OutageInterval, a node that has missed an
-// announcement during a store outage catches up within the goal of 17 s.
+// about 2,000 reads/s that the platform allows all nodes. Announcements by gossip are what makes a change fast;
+// OutageInterval covers lost announcements while the row cannot be read.
 var DefaultTiming = Timing{
 	FolderInterval:  time.Second,
 	RowInterval:     30 * time.Second,
--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -256,42 +256,82 @@
 	}
 }
 
-// Guards against slow propagation. The goals are those of docs/design.md, requirement 7.
+// Guards against slow propagation. The goals are those of docs/design.md, requirement 7. With outage, table and
+// object store go down as soon as the table has accepted the change.
 func TestPropagation(t *testing.T) {
 	for _, c := range []struct {
 		nodes, edits int
 		latency      time.Duration
+		outage       bool
 		goal         time.Duration
 	}{
-		{8, 200, time.Millisecond, 2 * time.Second},
-		{400, 20, 30 * time.Millisecond, 17 * time.Second},
+		{8, 200, time.Millisecond, false, 2 * time.Second},
+		{400, 20, 30 * time.Millisecond, false, 17 * time.Second},
+		{400, 10, 30 * time.Millisecond, true, 17 * time.Second},
 	} {
-		t.Run(fmt.Sprint(c.nodes), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d,outage=%v", c.nodes, c.outage), func(t *testing.T) {
 			simulate(t, 7, c.nodes, func(ctx context.Context, t *testing.T, cl *cluster) {
 				cl.latency = c.latency
-				for _, n := range cl.nodes {
-					n.table.SetFaults(table.Faults{MinLatency: 5 * time.Millisecond, MaxLatency: 30 * time.Millisecond})
-				}
+				cl.storeDown(false)
 				cl.start(ctx)
 				var times []time.Duration
 				for i := range c.edits {
-					took, ok := cl.inForceEverywhere(cl.folder.edit(true), time.Minute)
+					revision := cl.folder.edit(true)
+					began := time.Now()
+					for c.outage && cl.table.Counts().RowWrites <= uint64(i) {
+						time.Sleep(time.Millisecond)
+					}
+					cl.storeDown(c.outage)
+					_, ok := cl.inForceEverywhere(revision, time.Minute)
 					assert.Assert(t, ok)
-					times = append(times, took)
+					times = append(times, time.Since(began))
+					cl.storeDown(false)
 					time.Sleep(time.Duration(1000+i*37%1000) * time.Millisecond)
 				}
 				slices.Sort(times)
 				p99 := times[(len(times)*99+99)/100-1]
-				counts := cl.table.Counts()
-				t.Logf("%d nodes, %d edits: median %v, p99 %v, %d row writes",
-					c.nodes, c.edits, times[len(times)/2], p99, counts.RowWrites)
+				t.Logf("%d nodes, %d edits: median %v, p99 %v", c.nodes, c.edits, times[len(times)/2], p99)
 				assert.Assert(t, p99 <= c.goal, "p99 %v", p99)
-				assert.Equal(t, counts.RowWrites, uint64(c.edits))
+				assert.Equal(t, cl.table.Counts().RowWrites, uint64(c.edits))
 			})
 		})
 	}
 }
 
+// storeDown takes table and object store down, or up again with the latency of a healthy store.
+func (c *cluster) storeDown(down bool) {
+	faults := table.Faults{MinLatency: 5 * time.Millisecond, MaxLatency: 30 * time.Millisecond}
+	if down {
+		faults = table.Faults{Outage: table.Hanging}
+	}
+	for _, n := range c.nodes {
+		n.table.SetFaults(faults)
+	}
+	c.objects.SetFaults(object.Faults{Hanging: down})
+}
+
+// Guards against a digest that a peer stated wrongly and that stays in force although the row states another.
+func TestRowCorrectsPeer(t *testing.T) {
+	simulate(t, 9, 1, func(ctx context.Context, t *testing.T, c *cluster) {
+		n := c.nodes[0]
+		c.folder.edit(true)
+		n.alone(ctx, n.table)
+		time.Sleep(3 * time.Second)
+		right := n.store.Current()
+		n.stop()
+		synctest.Wait()
+		data, digest, err := config.Encode(&pb.Snapshot{Merged: &pb.FolderFile{}, FolderRevision: 1})
+		assert.NilError(t, err)
+		n.store = New(Options{Table: n.table, Objects: c.objects, Folder: n.folder, Rand: n.rand})
+		told := &pb.AcceptedVersion{Version: right.Version, FolderRevision: 1, Digest: digest}
+		assert.NilError(t, n.store.adopt(told, data, false))
+		assert.NilError(t, n.store.refresh(ctx))
+		assert.Equal(t, n.store.Current().Digest, right.Digest)
+		assert.NilError(t, n.store.adopt(told, data, false))
+		assert.Equal(t, n.store.Current().Digest, right.Digest)
+	})
+}
+
 // Guards against reads that grow with failures: the platform allows about 2,000 reads/s for all nodes.
 func TestReadRateDuringOutage(t *testing.T) {
 	simulate(t, 8, 20, func(ctx context.Context, t *testing.T, c *cluster) {
