--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -39,9 +39,9 @@
 )
 
 const (
-	// DefaultBytesPerSecond is half of a node's control budget of 6 KB/s; the rest is for probes, load reports,
-	// handshakes and repeated packets.
-	DefaultBytesPerSecond = 3000
+	// DefaultBytesPerSecond is the part of a node's control budget of 6 KB/s that is for gossip; load reports have
+	// 3,000 bytes/s and probes take 500.
+	DefaultBytesPerSecond = 2500
 	// MessageOverhead estimates what a message costs beside its body, in bytes: IP, UDP and QUIC headers,
 	// envelope fields and the peer's acknowledgement.
 	MessageOverhead = 120
--- /dev/null
+++ b/pkg/loadview/quantize.go
@@ -0,0 +1,74 @@
+package loadview
+
+import (
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/pb"
+)
+
+// quantized is a load in four bytes: running, waiting, cache (low four bits) with flags, and step time.
+type quantized [4]byte
+
+// Flags in the third byte.
+const (
+	flagLeaving     = 1 << 4
+	flagUnreachable = 1 << 5
+	flagUnobserved  = 1 << 6
+	cacheMask       = 1<<4 - 1
+)
+
+const (
+	// cacheStep is the size of a level of the cache, in percent.
+	cacheStep = 7
+	// stepUnit is the unit of step times before they are quantized, in microseconds.
+	stepUnit = 100
+	// maxLevel bounds levels; it stands for a count of half a million.
+	maxLevel = 38
+)
+
+// level returns the number of the half-octave step: 0, 1, 2, 3, 4, 6, 8, 12, 16, 24 and so on.
+func level(count uint32) byte {
+	n := byte(0)
+	for n < maxLevel && valueOf(n+1) <= count {
+		n++
+	}
+	return n
+}
+
+// valueOf returns the least count of a level.
+func valueOf(n byte) uint32 {
+	if n < 3 {
+		return uint32(n)
+	}
+	if n%2 == 1 {
+		return 3 << ((n - 3) / 2)
+	}
+	return 4 << ((n - 4) / 2)
+}
+
+func quantize(load *pb.WorkerLoad) quantized {
+	q := quantized{level(load.Running), level(load.Waiting), byte(min(load.CachePercent, 100) / cacheStep),
+		level(load.StepUs / stepUnit)}
+	if load.Leaving {
+		q[2] |= flagLeaving
+	}
+	if load.Unreachable {
+		q[2] |= flagUnreachable
+	}
+	return q
+}
+
+func (q quantized) expand(age time.Duration) Load {
+	return Load{Running: valueOf(min(q[0], maxLevel)), Waiting: valueOf(min(q[1], maxLevel)),
+		CachePercent: uint32(q[2]&cacheMask) * cacheStep, StepMicros: valueOf(min(q[3], maxLevel)) * stepUnit,
+		Leaving: q[2]&flagLeaving != 0, Unreachable: q[2]&flagUnreachable != 0, Unobserved: q[2]&flagUnobserved != 0,
+		Age: max(age, 0)}
+}
+
+// jumped reports whether the change is too large to wait for changePeriod.
+func (q quantized) jumped(before quantized) bool {
+	return q[2]&^cacheMask != before[2]&^cacheMask || distance(q[0], before[0]) >= jumpLevels ||
+		distance(q[1], before[1]) >= jumpLevels
+}
+
+func distance(a, b byte) int { return max(int(a)-int(b), int(b)-int(a)) }
