--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -50,6 +50,8 @@
 	budgetBurst = 2
 	// batchReserve is the part of the burst, in bytes, that only urgent items may use.
 	batchReserve = 2000
+	// lendAbove is the part of the burst above which load reports may use the budget.
+	lendAbove = 0.6
 	// repairShare is the part of the budget, as a divisor, that only digests and their answers may use, so that
 	// a storm of urgent items cannot keep a node out of date.
 	repairShare = 6
@@ -109,8 +111,8 @@
 	Fanout         int
 	// ExtraDelay is the time until an extra push of urgent items to a peer not known to have them; 0 means none.
 	ExtraDelay time.Duration
-	// NoRecentPull turns off the pull of recent urgent items; measurements use it to see push alone.
-	NoRecentPull bool
+	// NoPull turns off the pull of recent urgent items and digests; measurements use it to see push alone.
+	NoPull bool
 }
 
 // Stats are totals since the start.
@@ -355,6 +357,20 @@
 	return true
 }
 
+// Borrow takes bytes that gossip does not need at present from its budget and reports whether that was possible.
+// Most of the burst stays for urgent items.
+func (c *Core) Borrow(now time.Time, bytes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refill(now)
+	pushes, _ := c.bursts()
+	if c.tokens-float64(bytes) < lendAbove*pushes {
+		return false
+	}
+	c.tokens -= float64(bytes)
+	return true
+}
+
 // spendRepair takes a message from the part set aside for repair, or else from what is left for batches.
 func (c *Core) spendRepair(env *pb.Envelope) bool {
 	n := cost(env)
--- a/pkg/gossip/spread.go
+++ b/pkg/gossip/spread.go
@@ -23,10 +23,10 @@
 		c.rotateView()
 		c.store.expire(now)
 	}
-	if !c.cfg.NoRecentPull && due(&c.nextRecent, now, recentPeriod) {
+	if !c.cfg.NoPull && due(&c.nextRecent, now, recentPeriod) {
 		out = append(out, c.pullRecent(now)...)
 	}
-	if due(&c.nextDigest, now, digestPeriod) {
+	if !c.cfg.NoPull && due(&c.nextDigest, now, digestPeriod) {
 		// A node that has just started has far fewer items than peers.
 		if c.store.len() < len(c.peers)/2 {
 			c.hurry(now, bucketCount)
--- a/pkg/loadview/loadview.go
+++ b/pkg/loadview/loadview.go
@@ -10,8 +10,9 @@
 // not fit into the budget, and pushing every change through gossip sends it to each node about three times;
 // docs/measurements-gossip.md compares the three ways.
 //
-// Loads are quantized in steps of half an octave and sent at most every changePeriod per worker, unless the worker
-// begins to leave, cannot be reached or jumps by several steps.
+// Loads are quantized in steps of half an octave. A change of the running requests is sent when the number is a
+// tenth outside of the step sent last, and at most every changePeriod per worker, unless the worker begins to leave,
+// cannot be reached or jumps by several steps.
 //
 // Core is deterministic, like gossip.Core.
 package loadview
@@ -51,8 +52,8 @@
 	// worker without reports up as unobserved.
 	fullPeriod      = 5 * time.Second
 	unobservedAfter = 12 * time.Second
-	// maxMessage bounds the workers of one message, in bytes.
-	maxMessage = 1100
+	// maxMessage bounds the workers of one message, in bytes: two packets.
+	maxMessage = 2300
 	// workerBytes estimates one worker in a message.
 	workerBytes = 11
 	// budgetBurst is how many seconds of budget may be spent at once.
@@ -76,6 +77,7 @@
 // Peers is the part of gossip.Core that load views use.
 type Peers interface {
 	View() []gossip.Peer
+	Borrow(now time.Time, bytes int) bool
 }
 
 // Config configures a Core.
@@ -108,6 +110,7 @@
 // own is a worker that this node observes.
 type own struct {
 	load, sent quantized
+	running    uint32 // before quantization
 	observed   time.Time
 	sentAt     time.Time
 	domain     uint32
@@ -257,7 +260,7 @@
 		i := slices.IndexFunc(c.list, func(w Worker) bool { return w.Name == load.Server })
 		o.domain = hashOf(c.list[i].FailureDomain)
 	}
-	o.load, o.observed = quantize(load), now
+	o.load, o.running, o.observed = quantize(load), load.Running, now
 }
 
 // Load is the known load of a worker.
@@ -327,13 +330,15 @@
 	return c.sentMessages, c.sentBytes
 }
 
-// spend takes a message from the budget.
+// spend takes a message from the budget, or from what gossip does not need of its own.
 func (c *Core) spend(env *pb.Envelope) bool {
 	n := float64(proto.Size(env) + gossip.MessageOverhead)
-	if c.tokens < n {
+	switch {
+	case c.tokens >= n:
+		c.tokens -= n
+	case !c.peers.Borrow(c.refilled, int(n)):
 		return false
 	}
-	c.tokens -= n
 	c.sentMessages++
 	c.sentBytes += uint64(n)
 	return true
--- a/pkg/loadview/quantize.go
+++ b/pkg/loadview/quantize.go
@@ -71,4 +71,16 @@
 		distance(q[1], before[1]) >= jumpLevels
 }
 
+// leaves reports whether a count is outside of a level by more than a tenth. Without this margin a count near the
+// border of two levels would change back and forth.
+func leaves(count uint32, n byte) bool {
+	return 10*count < 9*valueOf(n) || 10*count >= 11*valueOf(n+1)
+}
+
+// differs reports whether the load is worth a message: the running requests left their level or another measure
+// changed.
+func (q quantized) differs(running uint32, sent quantized) bool {
+	return q[0] != sent[0] && leaves(running, sent[0]) || q[1] != sent[1] || q[2] != sent[2] || q[3] != sent[3]
+}
+
 func distance(a, b byte) int { return max(int(a)-int(b), int(b)-int(a)) }
--- a/pkg/loadview/spread.go
+++ b/pkg/loadview/spread.go
@@ -60,16 +60,18 @@
 	for _, id := range slices.Sorted(maps.Keys(c.observed)) {
 		o := c.observed[id]
 		waits := now.Sub(o.sentAt) < changePeriod && !o.load.jumped(o.sent)
-		if !full && (o.load == o.sent || waits) {
+		if !full && (waits || !o.load.differs(o.running, o.sent)) {
 			continue
 		}
-		o.sent, o.sentAt = o.load, now
+		if o.sentAt.IsZero() || o.load.differs(o.running, o.sent) {
+			o.sent, o.sentAt = o.load, now
+		}
 		r := reports[o.domain]
 		if r == nil {
 			r = &pb.DomainLoad{Version: &pb.LoadVersion{Domain: o.domain}}
 			reports[o.domain] = r
 		}
-		add(r, now, id, o.load, o.observed)
+		add(r, now, id, o.sent, o.observed)
 	}
 	var out []gossip.Message
 	for _, id := range slices.Sorted(maps.Keys(reports)) {
@@ -233,10 +235,10 @@
 }
 
 // delta collects the workers of the domains that changed after the versions, oldest changes first, up to the size
-// of a message or the budget. A domain that is cut short ends at the version of its last change.
+// of a message. A domain that is cut short ends at the version of its last change.
 func (c *Core) delta(now time.Time, have []*pb.LoadVersion, ids ...uint32) *pb.LoadDelta {
 	out := &pb.LoadDelta{}
-	room := int(min(float64(maxMessage), c.tokens-gossip.MessageOverhead)) / workerBytes
+	room := maxMessage / workerBytes
 	first := 0
 	if len(ids) > 0 {
 		first = c.cfg.Rand.IntN(len(ids))
