Connect strikes, load observers, adaptive limits and the gossiped instance list to the node

Cause: every node read the instance list and polled every server, which at 400 nodes before 640 workers would cost 100 MB/s of list reads and 512,000 polls a second. Now one node reads the list and gossips changes, two read the notices, and a few observers per failure domain poll each server.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"net/http"
 	"net/url"
@@ -23,6 +24,7 @@
 	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/route"
+	"github.com/pollenlug/pollenlug/pkg/strike"
 )
 
 const (
@@ -30,21 +32,34 @@
 	maxServers = 4
 	// retryAfter is what callers are told when no server could take the call.
 	retryAfter = time.Second
+	// strikeDigestBytes keeps the keys of gossiped strikes short.
+	strikeDigestBytes = 8
+	// heldPoll is how often a call that must not run now asks again.
+	heldPoll = 100 * time.Millisecond
 	// headerAttempt tells a service which attempt of a non-repeatable call it runs.
 	headerAttempt = "X-Pollenlug-Attempt"
 )
 
 // Budget limits retries.
 type Budget interface {
+	// Request counts a first attempt, which adds to the budget.
+	Request()
 	// Take takes one retry from the budget and reports whether there was one.
 	Take() bool
 }
 
+// Strikes knows the requests that crash servers; see generate.Strikes.
+type Strikes interface {
+	State(digest string) (state strike.State, wait time.Duration)
+	Begin(server *route.Server, digest string) (end func(strike.Outcome), ok bool)
+}
+
 // Options are the parts of a Dispatcher.
 type Options struct {
 	Router  *route.Router
 	Service backend.Service
 	Budget  Budget
+	Strikes Strikes
 	Config  func() *config.Index
 	Metrics *metrics.Set
 	Log     *logrus.Entry
@@ -64,6 +79,10 @@
 
 // Call implements gateway.Services.
 func (d *Dispatcher) Call(ctx context.Context, call gateway.ServiceCall) (backend.CallResponse, error) {
+	d.Budget.Request()
+	if state, _ := d.Strikes.State(contentOf(call)); state == strike.Quarantined {
+		return backend.CallResponse{}, code.New(code.RequestQuarantined, "this call has crashed two backend servers")
+	}
 	if call.Route.NonRepeatable {
 		return d.callOnce(ctx, call)
 	}
@@ -71,6 +90,12 @@
 	return response, err
 }
 
+// contentOf identifies what a call asks for, whoever sends it, for strikes.
+func contentOf(call gateway.ServiceCall) string {
+	sum := digest(call.Service.Name, call.Request)
+	return hex.EncodeToString(sum[:strikeDigestBytes])
+}
+
 // callOnce runs a non-repeatable call under a claim.
 func (d *Dispatcher) callOnce(ctx context.Context, call gateway.ServiceCall) (backend.CallResponse, error) {
 	claimed := claim.Call{
@@ -124,13 +149,15 @@
 // server that may have received a byte. Sent tells whether any server may have.
 func (d *Dispatcher) try(ctx context.Context, call gateway.ServiceCall, request backend.CallRequest, repeatable bool) (
 	response backend.CallResponse, sent bool, err error) {
+	content := contentOf(call)
 	req := route.Request{Group: call.Service.BackendGroup}
 	for range maxServers {
-		pick, pickErr := d.Router.Pick(&req)
-		if pickErr != nil {
+		var run *run
+		run, err = d.begin(ctx, &req, content)
+		if err != nil {
 			break
 		}
-		response, err = d.sendTo(ctx, &pick, request)
+		response, err = run.send(ctx, request)
 		if err == nil {
 			return response, true, nil
 		}
@@ -140,14 +167,74 @@
 			break
 		}
 		if !d.Budget.Take() {
-			return response, sent, code.Wrap(code.RetryBudgetExhausted, ranOf(sent), "the retry budget is spent", err).After(retryAfter)
+			err = code.Wrap(code.RetryBudgetExhausted, code.RanUnknown, "the retry budget is spent", err).After(retryAfter)
+			break
 		}
 		d.Metrics.Retry(retryReason(err))
-		req.Exclude = append(req.Exclude, pick.Server.ID)
+		req.Exclude = append(req.Exclude, run.pick.Server.ID)
 	}
 	return response, sent, d.failure(ctx, sent, err)
 }
 
+// run is one call on one server.
+type run struct {
+	dispatcher *Dispatcher
+	pick       route.Pick
+	end        func(strike.Outcome)
+}
+
+// begin chooses a server and counts the run, which may earn the call a strike. It waits while a decision on the call's
+// strikes is pending or another run of the same content must end first.
+func (d *Dispatcher) begin(ctx context.Context, req *route.Request, content string) (*run, error) {
+	for {
+		state, wait := d.Strikes.State(content)
+		if state == strike.Quarantined {
+			return nil, code.New(code.RequestQuarantined, "this call has crashed two backend servers")
+		}
+		if state != strike.Held {
+			req.Isolate = state == strike.Isolate
+			pick, err := d.Router.Pick(req)
+			if err != nil {
+				return nil, code.Wrap(code.NoBackendServer, code.RanNo, "no backend server can take the call", err).After(retryAfter)
+			}
+			if end, ok := d.Strikes.Begin(pick.Server, content); ok {
+				return &run{d, pick, end}, nil
+			}
+			pick.Done(route.Result{Outcome: route.Cancelled})
+			wait = heldPoll
+		}
+		d.Metrics.Retry("held")
+		if !pause(ctx, wait) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// pause returns false when ctx ends first.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *run) send(ctx context.Context, request backend.CallRequest) (backend.CallResponse, error) {
+	response, err := r.dispatcher.sendTo(ctx, &r.pick, request)
+	switch {
+	case err == nil:
+		r.end(strike.Completed)
+	case ctx.Err() == nil && errors.Is(err, backend.ErrInterrupted):
+		r.end(strike.Interrupted)
+	default:
+		r.end(strike.Abandoned)
+	}
+	return response, err
+}
+
 func retryReason(err error) string {
 	switch {
 	case errors.Is(err, backend.ErrUnreachable):
@@ -173,13 +260,14 @@
 	return response, err
 }
 
-// failure returns the refusal of a call that no server answered.
+// failure returns the refusal of a call that no server answered. Its ran says no only when nothing was sent.
 func (d *Dispatcher) failure(ctx context.Context, sent bool, err error) error {
+	var refusal *code.Error
 	switch {
 	case ctx.Err() != nil:
 		return code.Wrap(code.DeadlineExceeded, ranOf(sent), "the deadline passed before the service answered", ctx.Err())
-	case err == nil:
-		return code.New(code.NoBackendServer, "no backend server can take the call").After(retryAfter)
+	case errors.As(err, &refusal):
+		return refusal.WithRan(ranOf(sent))
 	default:
 		return code.Wrap(code.BackendFailed, ranOf(sent), "the service did not answer", err).After(retryAfter)
 	}
--- a/internal/generate/attempt.go
+++ b/internal/generate/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/route"
 	"github.com/pollenlug/pollenlug/pkg/stream"
+	"github.com/pollenlug/pollenlug/pkg/strike"
 )
 
 // complete runs attempts until the response has ended or this node stops running it.
@@ -72,22 +73,25 @@
 	return refusal
 }
 
-// pause waits before the next attempt: the backoff, then the retry budget. Finding no server costs no budget, since
-// nothing is sent.
+// pause waits before the next attempt: for the retry budget, then the backoff. What sends nothing costs no budget.
 func (r *Runner) pause(ctx context.Context, reason string, backoff time.Duration) bool {
-	if reason != reasonNoServer && r.Budget.Wait(ctx) != nil {
+	free := reason == reasonNoServer || reason == reasonHeld
+	if !free && r.Budget.Wait(ctx) != nil {
 		return false
 	}
 	if reason == reasonInterrupted || reason == reasonSilent {
 		return true // another server takes the next attempt, so waiting would only delay the caller
 	}
-	timer := time.NewTimer(backoff)
+	sleep(ctx, backoff)
+	return ctx.Err() == nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
 	case <-ctx.Done():
-		return false
 	}
 }
 
@@ -95,6 +99,8 @@
 	switch {
 	case errors.Is(err, errMove):
 		return reasonMoved
+	case errors.Is(err, errHeld):
+		return reasonHeld
 	case errors.Is(err, backend.ErrRefused):
 		return reasonRefused
 	case errors.Is(err, backend.ErrUnreachable):
@@ -110,22 +116,31 @@
 
 // attempt sends the response's request to one server and copies its tokens into the log.
 func (r *Runner) attempt(ctx context.Context, run *run) error {
-	isolate, err := r.Strikes.Check(run.digest)
-	if err != nil {
-		return err
+	state, wait := r.Strikes.State(run.digest)
+	switch state {
+	case strike.Quarantined:
+		return code.New(code.RequestQuarantined, "the request crashed two backend servers").WithRan(code.RanYes)
+	case strike.Held:
+		sleep(ctx, wait)
+		return errHeld
 	}
 	tokens := run.log.Tokens(0)
-	pick, err := r.pick(run, isolate, uint32(len(tokens)))
+	pick, err := r.pick(run, state == strike.Isolate, uint32(len(tokens)))
 	if err != nil {
 		return err
 	}
+	end, ok := r.Strikes.Begin(pick.Server, run.digest)
+	if !ok {
+		pick.Done(route.Result{Outcome: route.Cancelled})
+		return errHeld
+	}
+	limited := r.Limits.Acquire(pick.Server.ID)
 	attemptCtx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	kv := run.start(pick.Server, stop)
 	number := run.log.Begin()
 	sent := time.Now()
 	result := route.Result{Outcome: route.Failed}
-	r.Strikes.Began(pick.Server.ID, run.digest)
 	err = r.Engine.Generate(attemptCtx, pick.Server.Addr, r.request(run, number, tokens, kv), func(chunk backend.Chunk) error {
 		if result.FirstToken == 0 {
 			result.FirstToken = time.Since(sent)
@@ -133,14 +148,29 @@
 		}
 		return r.accept(run, number, chunk, &result)
 	})
-	r.Strikes.Ended(pick.Server.ID, run.digest)
+	if limited {
+		r.Limits.Release(pick.Server.ID, result.FirstToken)
+	}
 	if cause := context.Cause(attemptCtx); errors.Is(cause, errMove) && err != nil {
 		err = errMove
 	}
+	end(strikeOutcome(ctx, err))
 	r.settle(run, pick, result, err, ctx)
 	return err
 }
 
+// strikeOutcome tells package strike how an attempt ended. Only a connection that broke may mean that the server crashed.
+func strikeOutcome(ctx context.Context, err error) strike.Outcome {
+	switch {
+	case err == nil:
+		return strike.Completed
+	case ctx.Err() == nil && errors.Is(err, backend.ErrInterrupted):
+		return strike.Interrupted
+	default:
+		return strike.Abandoned
+	}
+}
+
 // settle returns the server to the router and remembers its failure.
 func (r *Runner) settle(run *run, pick *route.Pick, result route.Result, err error, ctx context.Context) {
 	server := pick.Server
@@ -157,9 +187,6 @@
 		run.failed = append(run.failed, server.ID)
 		r.Log.WithError(err).WithField("server", server.ID).Info("attempt failed")
 	}
-	if errors.Is(err, backend.ErrInterrupted) && ctx.Err() == nil {
-		r.Strikes.Failed(server.ID, server.FailureDomain, run.digest)
-	}
 	pick.Done(result)
 }
 
--- a/internal/generate/runner.go
+++ b/internal/generate/runner.go
@@ -18,6 +18,7 @@
 	"context"
 	"errors"
 	"hash/maphash"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/route"
 	"github.com/pollenlug/pollenlug/pkg/stream"
+	"github.com/pollenlug/pollenlug/pkg/strike"
 )
 
 const (
@@ -54,11 +56,15 @@
 	reasonSilent      = "silent"
 	reasonMoved       = "moved"
 	reasonNoServer    = "no_server"
+	reasonHeld        = "held"
 )
 
 // errMove cancels an attempt whose response continues on another server.
 var errMove = errors.New("generate: response moves to another server")
 
+// errHeld means that the request waits for a decision on its strikes, or for its other run to end.
+var errHeld = errors.New("generate: request is held")
+
 // errHandover cancels the run of a response whose home moves to another node.
 var errHandover = errors.New("generate: response moves to another node")
 
@@ -73,12 +79,16 @@
 
 // Strikes knows the requests that crash servers.
 type Strikes interface {
-	Began(server string, digest uint64)
-	Ended(server string, digest uint64)
-	// Failed reports that the server broke off the request.
-	Failed(server, failureDomain string, digest uint64)
-	// Check tells whether the request must run alone; the error is a refusal.
-	Check(digest uint64) (isolate bool, err error)
+	// State tells how a request may run now, and for a held one how long until the decision.
+	State(digest string) (state strike.State, wait time.Duration)
+	// Begin counts a run on a server; false means that the request must not run now. end must be called once.
+	Begin(server *route.Server, digest string) (end func(strike.Outcome), ok bool)
+}
+
+// ServerLimits adapts the number of requests in flight on each server.
+type ServerLimits interface {
+	Acquire(server string) bool
+	Release(server string, latency time.Duration)
 }
 
 // Progress is told about changes of a log, so that the replica receives them.
@@ -92,6 +102,7 @@
 	Engine   backend.Engine
 	Budget   Budget
 	Strikes  Strikes
+	Limits   ServerLimits
 	Progress Progress
 	// Config returns the configuration in force.
 	Config func() *config.Index
@@ -120,7 +131,7 @@
 	log    *stream.Log
 	req    openai.Request
 	model  config.Model
-	digest uint64
+	digest string
 	blocks []uint64
 	cancel context.CancelCauseFunc
 
@@ -154,12 +165,12 @@
 }
 
 // Digest identifies the content of a request, whoever sends it.
-func Digest(path string, body []byte) uint64 {
+func Digest(path string, body []byte) string {
 	d := xxhash.New()
 	_, _ = d.WriteString(path)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.Write(body)
-	return d.Sum64()
+	return strconv.FormatUint(d.Sum64(), 36)
 }
 
 // Run starts the response of a log in the background; done is called when this node no longer runs it. A response
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -10,6 +10,7 @@
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/limit"
+	"github.com/pollenlug/pollenlug/pkg/platform"
 )
 
 const (
@@ -18,11 +19,8 @@
 	demandInterval = time.Second
 	// demandTTL outlives a few lost items; a node that is silent for longer counts as out of touch.
 	demandTTL = 10 * time.Second
-	// defaultConcurrency is what a server runs at a time when its group does not say.
-	defaultConcurrency = 64
-	// slotHeadroom is how much more than an even part of the servers' capacity one node may use, because callers do not
-	// spread evenly over the nodes.
-	slotHeadroom = 2
+	// minSlots lets a node start work before it knows any server.
+	minSlots = 16
 )
 
 // setWorkspaces gives the admission the shares and limits of a configuration.
@@ -51,7 +49,7 @@
 			names = append(names, m.Node)
 		}
 		n.admission.SetNodes(names)
-		n.admission.SetConcurrency(n.slots(len(names)))
+		n.admission.SetConcurrency(n.slots())
 		out := &pb.WorkspaceDemand{}
 		for _, d := range n.admission.ExportDemand() {
 			out.Demands = append(out.Demands, &pb.Demand{
@@ -85,23 +83,14 @@
 	n.admission.SetDemand(strings.TrimPrefix(item.Key, demandKeyPrefix), demands)
 }
 
-// slots returns how many requests this node may run at a time: its part of what the servers can run.
-func (n *Node) slots(nodes int) int {
-	index := n.Config()
-	if index == nil {
-		return defaultConcurrency
-	}
-	capacity := 0
+// slots returns how many generations this node may run at a time: what it may have in flight on all engines by the
+// limits that it has learned from their latency.
+func (n *Node) slots() int {
+	sum := 0
 	for _, instance := range n.tracker.List() {
-		group, ok := index.Group(instance.BackendGroup)
-		if !ok || group.Kind != pb.BackendGroup_MODEL_ENGINE {
-			continue
-		}
-		if group.Concurrency == 0 {
-			capacity += defaultConcurrency
-			continue
+		if instance.Kind == platform.ModelEngine {
+			sum += n.serverLimits.Limit(instance.ID)
 		}
-		capacity += int(group.Concurrency)
 	}
-	return max(defaultConcurrency, slotHeadroom*capacity/max(1, nodes))
+	return max(minSlots, sum)
 }
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -24,7 +24,11 @@
 	// folderReaders is how many nodes read the operators' folder; more than one, so that the loss of a node delays
 	// nothing.
 	folderReaders = 3
-	folderKey     = "folder"
+	folderRole    = "folder"
+	// listRole is held by the node that reads the instance list for all, noticeRole by those that read the notices.
+	listRole      = "instance-list-reader"
+	noticeRole    = "notice-reader"
+	noticeReaders = 2
 	// configKeyPrefix precedes the node in the item that announces the newest configuration it has in force. Each
 	// node writes its own item, because two nodes must not write one item with the same version.
 	configKeyPrefix = "config/"
@@ -45,8 +49,7 @@
 
 func newCluster(s *pb.NodeSettings, t *transport.Transport, list platform.InstanceList, log *logrus.Entry) *cluster {
 	incarnation := uint64(time.Now().UnixMilli())
-	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-	core := gossip.NewCore(gossip.Config{Node: s.Node, Region: s.Region, Incarnation: incarnation, Rand: random()})
+	core := gossip.NewCore(gossip.Config{Node: s.Node, Region: s.Region, Incarnation: incarnation, Rand: newRand()})
 	members := membership.NewCore(membership.Config{
 		Node:          s.Node,
 		Region:        s.Region,
@@ -54,7 +57,7 @@
 		NodeAddr:      s.NodeAddr,
 		CallerAddr:    s.CallerAddr,
 		Incarnation:   incarnation,
-		Rand:          random(),
+		Rand:          newRand(),
 	}, core)
 	return &cluster{
 		self:      members.Self(),
@@ -83,9 +86,9 @@
 	return membership.Member{}, false
 }
 
-// readsFolder reports whether this node is one of those that read the operators' folder.
-func (c *cluster) readsFolder() bool {
-	for _, m := range membership.Rendezvous(folderKey, c.live(), folderReaders) {
+// hasRole reports whether this node is one of the n live nodes that hold a role.
+func (c *cluster) hasRole(role string, n int) bool {
+	for _, m := range membership.Rendezvous(role, c.live(), n) {
 		if m.Node == c.self.Node {
 			return true
 		}
@@ -93,6 +96,11 @@
 	return false
 }
 
+// readsFolder reports whether this node is one of those that read the operators' folder.
+func (c *cluster) readsFolder() bool { return c.hasRole(folderRole, folderReaders) }
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // handle answers messages of gossip and membership.
 func (c *cluster) handle(_ context.Context, from string, env *pb.Envelope) (*pb.Envelope, error) {
 	c.view.Receive(from, env)
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -2,11 +2,21 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
+	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pollenlug/pollenlug/internal/metrics"
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/backend"
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/limit"
+	"github.com/pollenlug/pollenlug/pkg/platform"
+	"github.com/pollenlug/pollenlug/pkg/route"
+	"github.com/pollenlug/pollenlug/pkg/strike"
 )
 
 const (
@@ -15,20 +25,52 @@
 	// budgetPatience is how long the retry of an accepted response waits for budget. It then goes ahead: the
 	// response was accepted, and the wait has spread the retries of a wave.
 	budgetPatience = 500 * time.Millisecond
+
+	strikeKeyPrefix = "strike/"
+	// strikeTTL is how long strikes are kept without a change.
+	strikeTTL = time.Hour
+	// strikeTick is how often crashes are decided on and changes are told to other nodes.
+	strikeTick = 100 * time.Millisecond
+	// crashProbes is how often a server whose connection broke is asked whether it lives, crashProbeWait the wait
+	// between two questions. The server may still be about to go down when the connection breaks.
+	crashProbes    = 3
+	crashProbeWait = 100 * time.Millisecond
+	crashTimeout   = 500 * time.Millisecond
 )
 
-// guard keeps failures from spreading: it holds the retry budget.
+// guard keeps failures from spreading: it holds the retry budget and the strikes of requests that crash servers.
 type guard struct {
 	budget  *limit.Budget
+	strikes *strike.Tracker
+	cluster *cluster
 	metrics *metrics.Set
+	// load asks a server for its load; hasNotice tells whether an instance is reclaimed; startedAt returns the last
+	// known start time of a server in Unix milliseconds.
+	load      func(ctx context.Context, server *route.Server) (backend.Load, error)
+	hasNotice func(server string) bool
+	startedAt func(server string) int64
+
+	mu      sync.Mutex
+	probing map[string]bool
 }
 
-func newGuard(m *metrics.Set) *guard {
-	return &guard{budget: limit.NewBudget(config.DefaultRetryPercent), metrics: m}
+func newGuard(c *cluster, m *metrics.Set) *guard {
+	g := &guard{
+		budget:  limit.NewBudget(config.DefaultRetryPercent),
+		strikes: strike.New(strike.Options{}),
+		cluster: c,
+		metrics: m,
+		probing: map[string]bool{},
+	}
+	c.gossip.Watch(strikeKeyPrefix, g.heard)
+	return g
 }
 
 func (g *guard) setPolicy(p config.Policy) { g.budget.SetPercent(p.RetryPercent) }
 
+// Request counts a first attempt, which adds to the retry budget.
+func (g *guard) Request() { g.budget.Request() }
+
 // Take implements dispatch.Budget.
 func (g *guard) Take() bool { return g.budget.Withdraw() }
 
@@ -46,18 +88,104 @@
 	return ctx.Err()
 }
 
-// Began, Ended, Failed and Check implement generate.Strikes.
-func (g *guard) Began(string, uint64) {}
+// State implements generate.Strikes.
+func (g *guard) State(digest string) (strike.State, time.Duration) {
+	return g.strikes.State(digest, time.Now())
+}
 
-// Ended tells that an attempt is over.
-func (g *guard) Ended(string, uint64) {}
+// Begin implements generate.Strikes. When the run's connection breaks, the server is asked whether it still lives.
+func (g *guard) Begin(server *route.Server, digest string) (func(strike.Outcome), bool) {
+	run, ok := g.strikes.Began(server.ID, digest, time.Now())
+	if !ok {
+		return nil, false
+	}
+	started := g.startedAt(server.ID)
+	return func(outcome strike.Outcome) {
+		run.Ended(outcome, time.Now())
+		if outcome == strike.Interrupted {
+			go g.probe(server, started)
+		}
+	}, true
+}
 
-// Failed tells that a server broke off an attempt.
-func (g *guard) Failed(string, string, uint64) {}
+// probe reports a crash when the server refuses connections or has started anew. One probe per server runs at a time.
+func (g *guard) probe(server *route.Server, started int64) {
+	g.mu.Lock()
+	busy := g.probing[server.ID]
+	g.probing[server.ID] = true
+	g.mu.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.probing, server.ID)
+	}()
+	for range crashProbes {
+		ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
+		load, err := g.load(ctx, server)
+		timedOut := ctx.Err() != nil
+		cancel()
+		restarted := err == nil && started != 0 && load.StartedUnixMillis != started
+		if err != nil || restarted {
+			g.crashed(server, started, err != nil && timedOut)
+			return
+		}
+		sleep(context.Background(), crashProbeWait)
+	}
+}
 
-// Check tells whether a request must run alone.
-func (g *guard) Check(uint64) (bool, error) { return false, nil }
+// crashed reports a crash. A server that does not answer at all may be cut off, which is no sign of a crash.
+func (g *guard) crashed(server *route.Server, started int64, unreachable bool) {
+	g.metrics.Count("server_crashes", "server", server.ID, 1)
+	g.strikes.Crashed(strike.Crash{
+		Server:      server.ID,
+		Domain:      server.FailureDomain,
+		Started:     started,
+		HadNotice:   g.hasNotice(server.ID),
+		Unreachable: unreachable,
+	}, time.Now())
+	g.publish()
+}
 
-func (g *guard) expectLoss(string) {}
+// run decides on crashes and tells other nodes of strikes until ctx ends.
+func (g *guard) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, strikeTick)
+		g.strikes.Tick(time.Now())
+		g.publish()
+	}
+}
+
+func (g *guard) publish() {
+	for _, change := range g.strikes.Changes() {
+		message := &pb.Strike{Servers: change.Record.Servers, Quarantined: change.Record.Quarantined}
+		g.cluster.publish(strikeKeyPrefix+change.Digest, message, strikeTTL, true)
+	}
+}
+
+func (g *guard) heard(item *pb.GossipItem) {
+	var message pb.Strike
+	if proto.Unmarshal(item.Value, &message) != nil {
+		return
+	}
+	record := strike.Record{Servers: message.Servers, Quarantined: message.Quarantined}
+	g.strikes.Merge(strings.TrimPrefix(item.Key, strikeKeyPrefix), record, time.Now())
+}
+
+// status lists the digests of quarantined requests.
+func (g *guard) status() []string { return g.strikes.Quarantines(time.Now()) }
+
+// loadOf returns a function that asks a backend server of either kind for its load.
+func loadOf(engine backend.Engine, service backend.Service, instance func(string) (platform.Instance, bool)) func(context.Context, *route.Server) (backend.Load, error) {
+	return func(ctx context.Context, server *route.Server) (backend.Load, error) {
+		if i, ok := instance(server.ID); ok && i.Kind == platform.PlainService {
+			return service.Load(ctx, server.Addr)
+		}
+		return engine.Load(ctx, server.Addr)
+	}
+}
 
-func (g *guard) status() any { return []string{} }
+// errNoInstance means that a server is not in the instance list any more.
+var errNoInstance = errors.New("node: no such instance")
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -2,96 +2,196 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/internal/servers"
 	"github.com/pollenlug/pollenlug/pkg/backend"
+	"github.com/pollenlug/pollenlug/pkg/loadview"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 	"github.com/pollenlug/pollenlug/pkg/route"
 )
 
 const (
-	// loadInterval is how often a server is asked for its load.
-	loadInterval = 500 * time.Millisecond
-	loadTimeout  = time.Second
-	// loadParallel bounds the questions that are open at a time.
-	loadParallel = 16
+	workerPrefix = "worker/"
+	// routerInterval is how often the router gets the loads that other nodes have observed.
+	routerInterval = 250 * time.Millisecond
+	// cacheTimeout bounds one read of a server's cache events.
+	cacheTimeout = 500 * time.Millisecond
 )
 
-// loadPoller asks servers for their load and cache events.
-type loadPoller struct {
-	engine  backend.Engine
-	service backend.Service
-	router  *route.Router
+// loads knows the load of the backend servers: it polls those that this node observes and hears of the others.
+type loads struct {
+	engine   backend.Engine
+	service  backend.Service
+	router   *route.Router
+	cluster  *cluster
+	instance func(string) (platform.Instance, bool)
+	view     *loadview.Runner
 
-	mu     sync.Mutex
-	loads  map[string]measured
-	events map[string]uint64 // last cache event by server
+	mu      sync.Mutex
+	workers map[string]*pb.WorkerState // by server
+	own     map[string]backend.Load    // exact loads of the servers that this node observes
+	events  map[string]uint64          // last cache event by server
 }
 
-type measured struct {
-	load backend.Load
-	at   time.Time
-}
-
-func newLoadPoller(engine backend.Engine, service backend.Service, router *route.Router) *loadPoller {
-	return &loadPoller{engine: engine, service: service, router: router, loads: map[string]measured{}, events: map[string]uint64{}}
-}
-
-// get implements servers.LoadFunc.
-func (p *loadPoller) get(server string) (backend.Load, time.Time, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m, ok := p.loads[server]
-	return m.load, m.at, ok
+func newLoads(n *Node) *loads {
+	l := &loads{
+		engine:   n.opts.Engine,
+		service:  n.opts.Service,
+		router:   n.router,
+		cluster:  n.cluster,
+		instance: func(id string) (platform.Instance, bool) { return n.tracker.Instance(id) },
+		workers:  map[string]*pb.WorkerState{},
+		own:      map[string]backend.Load{},
+		events:   map[string]uint64{},
+	}
+	core := loadview.NewCore(loadview.Config{
+		Node:          n.opts.Settings.Node,
+		FailureDomain: n.opts.Settings.FailureDomain,
+		Rand:          newRand(),
+	}, n.cluster.gossip, n.cluster.view)
+	l.view = loadview.NewRunner(core, n.transport, l.poll)
+	n.cluster.gossip.Watch(workerPrefix, l.heard)
+	return l
 }
 
-func (p *loadPoller) run(ctx context.Context, list func() []platform.Instance) {
-	for ctx.Err() == nil {
-		var group errgroup.Group
-		group.SetLimit(loadParallel)
-		for _, instance := range list() {
-			group.Go(func() error {
-				p.poll(ctx, instance)
-				return nil
-			})
-		}
-		_ = group.Wait()
-		sleep(ctx, loadInterval)
+// setServers tells which servers there are.
+func (l *loads) setServers(list []platform.Instance) {
+	workers := make([]loadview.Worker, 0, len(list))
+	for _, instance := range list {
+		workers = append(workers, loadview.Worker{Name: instance.ID, FailureDomain: instance.FailureDomain})
 	}
+	l.view.SetWorkers(workers)
 }
 
-func (p *loadPoller) poll(ctx context.Context, instance platform.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	ask := p.service.Load
+// poll implements loadview.Poll.
+func (l *loads) poll(ctx context.Context, server string) (*pb.WorkerLoad, error) {
+	instance, ok := l.instance(server)
+	if !ok {
+		return nil, errNoInstance
+	}
+	ask := l.service.Load
 	if instance.Kind == platform.ModelEngine {
-		ask = p.engine.Load
+		ask = l.engine.Load
 	}
 	load, err := ask(ctx, instance.Addr)
 	if err != nil {
-		return
+		return nil, err
 	}
-	now := time.Now()
-	p.mu.Lock()
-	p.loads[instance.ID] = measured{load, now}
-	after := p.events[instance.ID]
-	p.mu.Unlock()
-	p.router.SetLoad(instance.ID, load, now)
+	l.note(server, load)
 	if instance.Kind == platform.ModelEngine {
-		p.pollCache(ctx, instance, after)
+		go l.pollCache(instance)
 	}
+	return &pb.WorkerLoad{
+		Server:        server,
+		Running:       load.Running,
+		Waiting:       load.Waiting,
+		CachePercent:  load.CachePercent,
+		StepUs:        load.StepMicros,
+		Leaving:       instance.State == platform.Leaving,
+		StartedUnixMs: uint64(load.StartedUnixMillis),
+	}, nil
 }
 
-func (p *loadPoller) pollCache(ctx context.Context, instance platform.Instance, after uint64) {
-	events, err := p.engine.CacheEvents(ctx, instance.Addr, after)
+// note keeps the exact load of an observed server and tells the other nodes what changes rarely.
+func (l *loads) note(server string, load backend.Load) {
+	state := &pb.WorkerState{Models: load.Models, Adapters: load.Adapters, StartedUnixMs: uint64(load.StartedUnixMillis)}
+	l.mu.Lock()
+	l.own[server] = load
+	known := l.workers[server]
+	l.mu.Unlock()
+	l.router.SetLoad(server, load, time.Now())
+	if known == nil || !proto.Equal(known, state) {
+		l.cluster.publish(workerPrefix+server, state, 0, false)
+	}
+}
+
+func (l *loads) heard(item *pb.GossipItem) {
+	state := &pb.WorkerState{}
+	if proto.Unmarshal(item.Value, state) != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.workers[strings.TrimPrefix(item.Key, workerPrefix)] = state
+}
+
+// pollCache gives the router the cache events of an observed server.
+func (l *loads) pollCache(instance platform.Instance) {
+	ctx, cancel := context.WithTimeout(context.Background(), cacheTimeout)
+	defer cancel()
+	l.mu.Lock()
+	after := l.events[instance.ID]
+	l.mu.Unlock()
+	events, err := l.engine.CacheEvents(ctx, instance.Addr, after)
 	if err != nil || len(events) == 0 {
 		return
 	}
-	p.mu.Lock()
-	p.events[instance.ID] = events[len(events)-1].Sequence
-	p.mu.Unlock()
-	p.router.ObserveCache(instance.ID, events)
+	l.mu.Lock()
+	fresh := l.events[instance.ID] == after // another poll may have been faster
+	l.events[instance.ID] = events[len(events)-1].Sequence
+	l.mu.Unlock()
+	if fresh {
+		l.router.ObserveCache(instance.ID, events)
+	}
+}
+
+// get returns the last known load of a server.
+func (l *loads) get(server string) (servers.Load, bool) {
+	now := time.Now()
+	seen, ok := l.view.Get(now, server)
+	l.mu.Lock()
+	state, exact := l.workers[server], l.own[server]
+	l.mu.Unlock()
+	if !ok && state == nil {
+		return servers.Load{}, false
+	}
+	out := servers.Load{
+		Load: backend.Load{
+			Running:       seen.Running,
+			Waiting:       seen.Waiting,
+			CachePercent:  seen.CachePercent,
+			StepMicros:    seen.StepMicros,
+			PrefillTokens: exact.PrefillTokens,
+		},
+		At:          now.Add(-seen.Age),
+		Unreachable: seen.Unreachable,
+	}
+	if state != nil {
+		out.Models, out.Adapters = state.Models, state.Adapters
+		out.StartedUnixMillis = int64(state.StartedUnixMs)
+	}
+	return out, true
+}
+
+// startedAt returns the last known start time of a server in Unix milliseconds, or 0.
+func (l *loads) startedAt(server string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.workers[server].GetStartedUnixMs())
+}
+
+// run polls and exchanges loads, and gives the router those that other nodes observe, until ctx ends.
+func (l *loads) run(ctx context.Context, list func() []platform.Instance) {
+	var wg sync.WaitGroup
+	wg.Go(func() { l.view.Run(ctx) })
+	for ctx.Err() == nil {
+		sleep(ctx, routerInterval)
+		observed := l.view.Duties()
+		for _, instance := range list() {
+			if slices.Contains(observed, instance.ID) {
+				continue // note has given the router the exact load
+			}
+			if load, ok := l.get(instance.ID); ok {
+				l.router.SetLoad(instance.ID, load.Load, load.At)
+			}
+		}
+	}
+	wg.Wait()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,20 +75,21 @@
 	log     *logrus.Entry
 	metrics *metrics.Set
 
-	transport  *transport.Transport
-	cluster    *cluster
-	config     *configstore.Store
-	router     *route.Router
-	tracker    *servers.Tracker
-	loads      *loadPoller
-	logs       *stream.Store
-	replicator *replica.Replicator
-	runner     *generate.Runner
-	claims     *claim.Claims
-	dispatcher *dispatch.Dispatcher
-	admission  *limit.Admission
-	guard      *guard
-	server     *http.Server
+	transport    *transport.Transport
+	cluster      *cluster
+	config       *configstore.Store
+	router       *route.Router
+	tracker      *servers.Tracker
+	loads        *loads
+	serverLimits *limit.ServerLimits
+	logs         *stream.Store
+	replicator   *replica.Replicator
+	runner       *generate.Runner
+	claims       *claim.Claims
+	dispatcher   *dispatch.Dispatcher
+	admission    *limit.Admission
+	guard        *guard
+	server       *http.Server
 
 	leaving      atomic.Bool
 	drained      chan struct{}
@@ -144,22 +145,30 @@
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
 	})
-	n.guard = newGuard(n.metrics)
-	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: defaultConcurrency})
-	n.loads = newLoadPoller(n.opts.Engine, n.opts.Service, n.router)
+	n.guard = newGuard(n.cluster, n.metrics)
+	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: minSlots})
+	n.serverLimits = limit.NewServerLimits(config.DefaultFirstToken, time.Now)
+	n.loads = newLoads(n)
 	n.buildResponses()
 	n.buildServices()
 	n.tracker = servers.New(servers.Options{
-		Instances:   p.Instances,
-		Cloud:       p.Cloud,
-		Router:      n.router,
-		Config:      n.Config,
-		Load:        n.loads.get,
-		Leaving:     n.serverLeaving,
-		Self:        s.Node,
-		SelfLeaving: func(deadline time.Time) { n.reclaimed <- deadline },
-		Log:         n.log,
+		Instances:    p.Instances,
+		Cloud:        p.Cloud,
+		Router:       n.router,
+		Config:       n.Config,
+		Load:         n.loads.get,
+		ReadsList:    func() bool { return n.cluster.hasRole(listRole, 1) },
+		ReadsNotices: func() bool { return n.cluster.hasRole(noticeRole, noticeReaders) },
+		Gossip:       n.cluster.gossip,
+		Leaving:      n.serverLeaving,
+		Changed:      n.serversChanged,
+		Self:         s.Node,
+		SelfLeaving:  func(deadline time.Time) { n.reclaimed <- deadline },
+		Log:          n.log,
 	})
+	n.guard.load = loadOf(n.opts.Engine, n.opts.Service, n.tracker.Instance)
+	n.guard.hasNotice = n.tracker.HasNotice
+	n.guard.startedAt = n.loads.startedAt
 	n.config.Watch(n.applyConfig)
 	n.cluster.watchConfig(func(version uint64, digest, node string) {
 		n.config.Offer(context.Background(), version, digest, node)
@@ -173,6 +182,7 @@
 		Engine:   n.opts.Engine,
 		Budget:   n.guard,
 		Strikes:  n.guard,
+		Limits:   n.serverLimits,
 		Progress: progress{n},
 		Config:   n.Config,
 		Metrics:  n.metrics,
@@ -201,6 +211,7 @@
 		Router:  n.router,
 		Service: n.opts.Service,
 		Budget:  n.guard,
+		Strikes: n.guard,
 		Config:  n.Config,
 		Metrics: n.metrics,
 		Log:     n.log,
@@ -219,13 +230,14 @@
 	handler := gateway.New(gateway.Options{
 		Node: n,
 		Responses: &responses{
-			node:       n.opts.Settings.Node,
-			leaving:    n.leaving.Load,
-			strikes:    n.guard,
-			admission:  n.admission,
-			logs:       n.logs,
-			replicator: n.replicator,
-			runner:     n.runner,
+			node:         n.opts.Settings.Node,
+			leaving:      n.leaving.Load,
+			strikes:      n.guard,
+			countRequest: n.guard.Request,
+			admission:    n.admission,
+			logs:         n.logs,
+			replicator:   n.replicator,
+			runner:       n.runner,
 		},
 		Services: n.dispatcher,
 		Metrics:  n.metrics,
@@ -331,6 +343,7 @@
 		func(ctx context.Context) { n.loads.run(ctx, n.tracker.List) },
 		n.expire,
 		n.exchangeDemand,
+		n.guard.run,
 	} {
 		wg.Go(func() { run(ctx) })
 	}
@@ -351,6 +364,7 @@
 	policy := current.Index.Policy()
 	n.router.SetTargets(policy.FirstToken, policy.BetweenTokens, policy.RecomputeWeight)
 	n.guard.setPolicy(policy)
+	n.serverLimits.SetTarget(policy.FirstToken)
 	setWorkspaces(n.admission, current.Index)
 	n.cluster.announceConfig(current.Version, current.Digest)
 	n.log.WithFields(logrus.Fields{"version": current.Version, "digest": current.Digest}).Info("configuration is in force")
@@ -358,10 +372,19 @@
 
 // serverLeaving moves the responses that run on a server which is to leave.
 func (n *Node) serverLeaving(server string, deadline time.Time) {
-	n.guard.expectLoss(server)
 	go n.runner.ServerLeaving(context.Background(), server, deadline)
 }
 
+// serversChanged tells the other parts which servers there are.
+func (n *Node) serversChanged(list []platform.Instance) {
+	n.loads.setServers(list)
+	ids := make([]string, 0, len(list))
+	for _, instance := range list {
+		ids = append(ids, instance.ID)
+	}
+	n.serverLimits.Keep(ids)
+}
+
 // Kill stops the node at once, as when its machine is switched off.
 func (n *Node) Kill() {
 	n.killOnce.Do(func() {
@@ -389,6 +412,11 @@
 		state := n.claims.Query(q.Workspace, q.Key, q.Attempt)
 		return &pb.Envelope{Body: &pb.Envelope_AttemptState{AttemptState: state}}, nil
 	}
+	switch env.Body.(type) {
+	case *pb.Envelope_LoadDigest, *pb.Envelope_LoadDelta:
+		n.loads.view.Receive(from, env)
+		return &pb.Envelope{Body: &pb.Envelope_Ack{Ack: &pb.Ack{}}}, nil
+	}
 	if answer := n.replicator.Handle(ctx, from, env); answer != nil {
 		return answer, nil
 	}
--- a/internal/node/responses.go
+++ b/internal/node/responses.go
@@ -13,6 +13,7 @@
 	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/limit"
 	"github.com/pollenlug/pollenlug/pkg/stream"
+	"github.com/pollenlug/pollenlug/pkg/strike"
 )
 
 // uniqueBytes makes the ids of two responses of one node differ.
@@ -20,13 +21,15 @@
 
 // responses accepts requests and finds responses; it implements gateway.Responses.
 type responses struct {
-	node       string
-	leaving    func() bool
-	strikes    generate.Strikes
-	admission  *limit.Admission
-	logs       *stream.Store
-	replicator *replica.Replicator
-	runner     *generate.Runner
+	node    string
+	leaving func() bool
+	strikes generate.Strikes
+	// countRequest adds a first attempt to the retry budget.
+	countRequest func()
+	admission    *limit.Admission
+	logs         *stream.Store
+	replicator   *replica.Replicator
+	runner       *generate.Runner
 }
 
 // Start implements gateway.Responses. The order matters: a request that is refused leaves nothing behind, and a
@@ -35,9 +38,10 @@
 	if r.leaving() {
 		return nil, code.New(code.NodeLeaving, "the entry node is leaving").After(time.Second)
 	}
-	if _, err := r.strikes.Check(generate.Digest(req.Path, req.Body)); err != nil {
-		return nil, err
+	if state, _ := r.strikes.State(generate.Digest(req.Path, req.Body)); state == strike.Quarantined {
+		return nil, code.New(code.RequestQuarantined, "this request has crashed two backend servers")
 	}
+	r.countRequest()
 	grant, err := r.admission.Acquire(ctx, limit.Request{
 		Workspace: req.Workspace.Name,
 		Priority:  req.Workspace.Priority,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -120,9 +120,9 @@
 			Reclaimable:   instance.Reclaimable,
 			LoadAgeMs:     -1,
 		}
-		if load, at, ok := n.loads.get(instance.ID); ok {
+		if load, ok := n.loads.get(instance.ID); ok {
 			line.Running, line.Waiting, line.CachePercent = load.Running, load.Waiting, load.CachePercent
-			line.LoadAgeMs = time.Since(at).Milliseconds()
+			line.LoadAgeMs = time.Since(load.At).Milliseconds()
 		}
 		out = append(out, line)
 	}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -1,8 +1,14 @@
 // Package servers keeps the router's list of backend servers current.
 //
-// The instance list lags by seconds, so reclaim notices are read besides: from the first second of a notice the
-// server takes no new work. Notices are remembered until the instance has left the list, because a list that lags
-// would show the server as live again.
+// # Design
+//
+// One node, chosen by rendezvous hashing, reads the platform's instance list and gossips what changed; two nodes read
+// the reclaim notices, which are urgent. At the target size the list of a thousand instances is too large for every
+// node to read often: 400 nodes that read it each second would cost 100 MB/s. A node reads the list itself when it
+// starts and now and then afterwards, so that it needs no other node.
+//
+// The list lags by seconds. A notice is therefore remembered until some time after its deadline: from its first second
+// the server takes no new work, even while the list shows it as live.
 package servers
 
 import (
@@ -15,6 +21,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/platform"
@@ -22,20 +29,38 @@
 )
 
 const (
-	// listInterval is how often the instance list is read.
-	listInterval = time.Second
+	// minListInterval is the least time between two reads of the list, listTimePerInstance stretches it with the size of
+	// the list: at about 250 bytes an instance, the reader spends 5 KB/s.
+	minListInterval     = time.Second
+	listTimePerInstance = 50 * time.Millisecond
+	// fallbackInterval is how often a node that is not the reader reads the list.
+	fallbackInterval = time.Minute
+	// roleInterval is how often a node asks whether it is a reader.
+	roleInterval = 250 * time.Millisecond
 	// noticeWait is how long one read of the notices waits for a new one.
 	noticeWait = 10 * time.Second
 	// retryInterval is the wait after a failed read.
 	retryInterval = 500 * time.Millisecond
-	// callTimeout bounds one read of the list.
-	callTimeout = 2 * time.Second
-	// noticeMemory is how long a notice is kept after its deadline.
+	// listTimeout bounds one read of the list.
+	listTimeout = 2 * time.Second
+	// noticeMemory is how long a notice is kept after its deadline; the list lags less.
 	noticeMemory = time.Minute
+	// applyInterval is how often the router's list is renewed when nothing changes, for notices that expire.
+	applyInterval = 2 * time.Second
 )
 
-// LoadFunc returns the last known load of a server and when it was measured.
-type LoadFunc func(server string) (load backend.Load, at time.Time, ok bool)
+// Load is what is known of a server's load.
+type Load struct {
+	backend.Load
+	At          time.Time
+	Unreachable bool
+}
+
+// Gossip spreads items between nodes; *gossip.Runner implements it.
+type Gossip interface {
+	Set(key string, value []byte, ttl time.Duration, urgent bool)
+	Watch(prefix string, fn func(item *pb.GossipItem))
+}
 
 // Options are the parts of a Tracker.
 type Options struct {
@@ -43,28 +68,43 @@
 	Cloud     platform.Cloud
 	Router    *route.Router
 	Config    func() *config.Index
-	Load      LoadFunc
-	// Leaving is called for each server that is to leave, again with each read of the list.
+	// Load returns the last known load of a server.
+	Load func(server string) (Load, bool)
+	// ReadsList and ReadsNotices tell whether this node reads the list and the notices for all.
+	ReadsList, ReadsNotices func() bool
+	Gossip                  Gossip
+	// Leaving is called for each server that is to leave, again with each renewal of the list.
 	Leaving func(server string, deadline time.Time)
+	// Changed is called with the backend servers after each change; it may be nil.
+	Changed func([]platform.Instance)
 	// Self is the instance of this node; SelfLeaving is called once when it is to leave.
 	Self        string
 	SelfLeaving func(deadline time.Time)
 	Log         *logrus.Entry
 }
 
-// Tracker follows the backend servers.
+// Tracker follows the instances.
 type Tracker struct {
 	Options
+	wake chan struct{}
 
-	mu      sync.Mutex
-	list    []platform.Instance
-	notices map[string]time.Time // deadline by instance
-	self    sync.Once
+	mu        sync.Mutex
+	instances map[string]platform.Instance
+	notices   map[string]time.Time // deadline by instance
+	self      sync.Once
 }
 
-// New returns a Tracker.
+// New returns a Tracker that listens to gossip.
 func New(opts Options) *Tracker {
-	return &Tracker{Options: opts, notices: map[string]time.Time{}}
+	t := &Tracker{
+		Options:   opts,
+		wake:      make(chan struct{}, 1),
+		instances: map[string]platform.Instance{},
+		notices:   map[string]time.Time{},
+	}
+	opts.Gossip.Watch(instancePrefix, t.heardInstance)
+	opts.Gossip.Watch(noticePrefix, t.heardNotice)
+	return t
 }
 
 // Run follows the list and the notices until ctx ends.
@@ -72,83 +112,36 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { t.followNotices(ctx) })
 	wg.Go(func() { t.followList(ctx) })
+	wg.Go(func() { t.renew(ctx) })
 	wg.Wait()
 }
 
-func (t *Tracker) followList(ctx context.Context) {
-	ticker := time.NewTicker(listInterval)
+// renew applies changes as they come, and from time to time without one.
+func (t *Tracker) renew(ctx context.Context) {
+	ticker := time.NewTicker(applyInterval)
 	defer ticker.Stop()
 	for {
-		t.readList(ctx)
 		select {
+		case <-t.wake:
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-	}
-}
-
-// readList replaces the list; a failed read leaves the last one in force.
-func (t *Tracker) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	list, err := t.Instances.Instances(ctx)
-	if err != nil {
-		t.Log.WithError(err).Debug("instance list is unavailable; the last one stays in force")
-	} else {
-		t.mu.Lock()
-		t.list = list
-		t.forgetNotices(time.Now())
-		t.mu.Unlock()
-	}
-	t.apply()
-}
-
-// forgetNotices drops notices that ended long ago; t.mu is held.
-func (t *Tracker) forgetNotices(now time.Time) {
-	maps.DeleteFunc(t.notices, func(_ string, deadline time.Time) bool { return now.Sub(deadline) > noticeMemory })
-}
-
-func (t *Tracker) followNotices(ctx context.Context) {
-	var last uint64
-	for ctx.Err() == nil {
-		waitCtx, cancel := context.WithTimeout(ctx, noticeWait)
-		notices, err := t.Cloud.Notices(waitCtx, last)
-		timedOut := waitCtx.Err() != nil
-		cancel()
-		if err != nil && !timedOut {
-			pause(ctx, retryInterval)
-			continue
-		}
-		if len(notices) == 0 {
-			pause(ctx, time.Millisecond) // a platform that answers at once without notices must not be asked in a busy loop
-			continue
-		}
-		t.mu.Lock()
-		for _, notice := range notices {
-			t.notices[notice.Instance] = notice.Deadline
-			last = max(last, notice.Number)
-		}
-		t.mu.Unlock()
 		t.apply()
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
+// changed makes renew run soon.
+func (t *Tracker) changed() {
 	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	case t.wake <- struct{}{}:
+	default:
 	}
 }
 
 // apply gives the router the servers and reports those that are to leave.
 func (t *Tracker) apply() {
-	t.mu.Lock()
-	list := slices.Clone(t.list)
-	notices := maps.Clone(t.notices)
-	t.mu.Unlock()
+	list, notices := t.state(time.Now())
 	servers := make([]route.Server, 0, len(list))
 	leaving := map[string]time.Time{}
 	for _, instance := range list {
@@ -167,13 +160,24 @@
 		}
 		servers = append(servers, t.server(instance, noticed))
 	}
-	slices.SortFunc(servers, func(a, b route.Server) int { return strings.Compare(a.ID, b.ID) })
 	t.Router.SetServers(servers)
+	if t.Changed != nil {
+		t.Changed(t.List())
+	}
 	for server, deadline := range leaving {
 		t.Leaving(server, deadline)
 	}
 }
 
+// state returns the instances in the order of their names and the notices, and forgets notices of long ago.
+func (t *Tracker) state(now time.Time) ([]platform.Instance, map[string]time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.notices, func(_ string, deadline time.Time) bool { return now.Sub(deadline) > noticeMemory })
+	list := slices.SortedFunc(maps.Values(t.instances), func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return list, maps.Clone(t.notices)
+}
+
 func (t *Tracker) server(instance platform.Instance, leaving bool) route.Server {
 	out := route.Server{
 		ID:                 instance.ID,
@@ -185,9 +189,10 @@
 		Reclaimable:        instance.Reclaimable,
 		Leaving:            leaving,
 	}
-	if load, at, ok := t.Load(instance.ID); ok {
-		out.Load, out.LoadAt = load, at
+	if load, ok := t.Load(instance.ID); ok {
+		out.Load, out.LoadAt = load.Load, load.At
 		out.Models, out.Adapters = load.Models, load.Adapters
+		out.Suspect = load.Unreachable
 	}
 	if index := t.Config(); index != nil {
 		if group, ok := index.Group(instance.BackendGroup); ok {
@@ -197,9 +202,24 @@
 	return out
 }
 
-// List returns the backend servers as last read.
+// List returns the backend servers.
 func (t *Tracker) List() []platform.Instance {
+	list, _ := t.state(time.Now())
+	return slices.DeleteFunc(list, func(i platform.Instance) bool { return i.Kind == platform.EntryNode })
+}
+
+// Instance returns one instance.
+func (t *Tracker) Instance(id string) (platform.Instance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	instance, ok := t.instances[id]
+	return instance, ok
+}
+
+// HasNotice reports whether an instance is to leave or has left after a notice.
+func (t *Tracker) HasNotice(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(t.list), func(i platform.Instance) bool { return i.Kind == platform.EntryNode })
+	_, noticed := t.notices[id]
+	return noticed || t.instances[id].State == platform.Leaving
 }
