--- a/pkg/route/homes.go
+++ b/pkg/route/homes.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,12 +41,7 @@
 			ring = append(ring, ringPoint{hash, i})
 		}
 	}
-	slices.SortFunc(ring, func(a, b ringPoint) int {
-		if a.hash < b.hash {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
 	return ring
 }
 
@@ -81,6 +77,24 @@
 	return found
 }
 
+const (
+	subsetNodes = 4  // nodes that should have a server in their subset
+	minSubset   = 32 // servers, so that each price and failure domain is represented
+)
+
+// subsetOf returns the servers of a group that this node prefers: those with the lowest hash with the node's seed.
+func (r *Router) subsetOf(servers []Server, members []int32) []int32 {
+	size := max(minSubset, int(float64(len(members)*subsetNodes)/loadFloat(&r.peers)))
+	if size >= len(members) {
+		return members
+	}
+	seed := mix(r.opts.Seed + 1)
+	rank := func(i int32) uint64 { return mix(seed ^ xxhash.Sum64String(servers[i].ID)) }
+	subset := slices.Clone(members)
+	slices.SortFunc(subset, func(a, b int32) int { return cmp.Compare(rank(a), rank(b)) })
+	return subset[:size]
+}
+
 // mix is the finalizer of splitmix64.
 func mix(z uint64) uint64 {
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -11,8 +11,9 @@
 // therefore copied to a second server as soon as the first one would miss the target.
 //
 // Load reports lag, and all nodes see the same report. Taking the best of all servers would send every node to the
-// same server until the next report. The router therefore scores a random sample besides the servers that hold the
-// prefix; see docs/measurements-decisions.md for the comparison with a full scan.
+// same server until the next report. The router therefore scores, besides the servers that hold the prefix, a random
+// sample of a subset of servers that differs from node to node. With a small subset, what this node sent to a server
+// since its report says more about what all nodes sent. See docs/measurements-decisions.md for the comparisons.
 package route
 
 import (
@@ -65,8 +66,9 @@
 	Sample int
 	// IndexBlocks bounds the prefix index, in blocks of about 40 bytes.
 	IndexBlocks int
-	Seed        uint64
-	Now         func() time.Time
+	// Seed must differ between nodes, since it selects the node's subset of servers.
+	Seed uint64
+	Now  func() time.Time
 }
 
 const (
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -55,6 +55,7 @@
 	entries  []entry
 	groups   map[string][]int32
 	rings    map[string]homeRing
+	subsets  map[string][]int32 // per group, the servers this node prefers for requests without a prefix
 	models   map[string]bitset
 	adapters map[string]bitset
 	position []int32 // by state number; -1 when absent
@@ -71,7 +72,7 @@
 		states: make(map[string]*state),
 	}
 	r.counter.Store(opts.Seed)
-	r.SetPeers(1)
+	storeFloat(&r.peers, 1)
 	for i := range r.homeTrust {
 		storeFloat(&r.homeTrust[i], initialHomeTrust)
 	}
@@ -92,8 +93,14 @@
 }
 
 // SetPeers tells how many nodes, this one included, send requests to the same servers. What this node sent since a
-// load report stands for what each of them sent.
-func (r *Router) SetPeers(n int) { storeFloat(&r.peers, float64(max(1, n))) }
+// load report stands for what each node sent that has the server in its subset.
+func (r *Router) SetPeers(n int) {
+	peers := float64(max(1, n))
+	if loadFloat(&r.peers) != peers {
+		storeFloat(&r.peers, peers)
+		r.SetServers(r.snap.Load().servers)
+	}
+}
 
 // SetServers replaces the set of servers. Counters and estimates of servers that remain survive. The slice must not
 // be changed afterwards.
@@ -106,6 +113,7 @@
 		entries:  make([]entry, len(servers)),
 		groups:   make(map[string][]int32),
 		rings:    make(map[string]homeRing),
+		subsets:  make(map[string][]int32),
 		models:   make(map[string]bitset),
 		adapters: make(map[string]bitset),
 		byID:     make(map[string]int32, len(servers)),
@@ -128,6 +136,7 @@
 	}
 	for group, members := range s.groups {
 		s.rings[group] = newHomeRing(servers, members)
+		s.subsets[group] = r.subsetOf(servers, members)
 	}
 	s.position = make([]int32, r.next)
 	for i := range s.position {
@@ -245,7 +254,8 @@
 func (r *Router) Pick(req *Request) (Pick, error) {
 	s := r.snap.Load()
 	c := chooser{router: r, snap: s, req: req, targets: r.targets.Load(), members: s.groups[req.Group],
-		peers: loadFloat(&r.peers)}
+		subset: s.subsets[req.Group]}
+	c.peers = max(1, loadFloat(&r.peers)*float64(len(c.subset))/float64(max(1, len(c.members))))
 	if req.Model != "" {
 		c.model = s.models[req.Model]
 	}
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -30,7 +30,11 @@
 	// priorityCost divides the price term per priority class above the lowest.
 	priorityCost = 2.0
 
-	maxHints = 16
+	// crowded is the score above which servers outside the subset are considered; it is above what price and a short
+	// uncached prompt add up to.
+	crowded    = 2.0
+	wideSample = 4
+	maxHints   = 16
 )
 
 // prefixHint is a candidate from the prefix index.
@@ -47,6 +51,7 @@
 	req            *Request
 	targets        *targets
 	members        []int32
+	subset         []int32
 	model, adapter bitset
 	hints          [maxHints]prefixHint
 	hinted         int
@@ -144,25 +149,29 @@
 	return best
 }
 
-// sample scores the servers that hold the prefix and a few random ones.
+// sample scores the servers that hold the prefix and a few random ones of the subset. When the best is crowded, a few
+// of all servers are scored as well.
 func (c *chooser) sample() int32 {
-	best, lowest := int32(-1), 0.0
-	n := uint64(len(c.members))
-	for k := range c.hinted + c.homeCount + c.router.opts.Sample {
-		var i int32
-		switch {
-		case k < c.hinted:
-			i = c.hints[k].position
-		case k < c.hinted+c.homeCount:
-			i = c.homes[k-c.hinted].position
-		default:
-			i = c.members[c.router.random()%n]
-		}
-		if !c.eligible(i) {
-			continue
+	best, lowest := int32(-1), math.Inf(1)
+	try := func(i int32) {
+		if c.eligible(i) {
+			if v := c.score(i); v < lowest {
+				best, lowest = i, v
+			}
 		}
-		if v := c.score(i); best < 0 || v < lowest {
-			best, lowest = i, v
+	}
+	for k := range c.hinted {
+		try(c.hints[k].position)
+	}
+	for k := range c.homeCount {
+		try(c.homes[k].position)
+	}
+	for range c.router.opts.Sample {
+		try(c.subset[c.router.random()%uint64(len(c.subset))])
+	}
+	if lowest > crowded && len(c.subset) < len(c.members) {
+		for range wideSample {
+			try(c.members[c.router.random()%uint64(len(c.members))])
 		}
 	}
 	return best
--- a/pkg/route/sim_test.go
+++ b/pkg/route/sim_test.go
@@ -16,20 +16,24 @@
 // The simulation has only servers and routers: 40 servers with continuous batching and an LRU prefix cache, 8 routers
 // that see load reports 500 ms late, and Poisson arrivals in virtual time.
 const (
-	simServers     = 40
-	simRouters     = 8
 	simSlots       = 32
 	simPrefillRate = 16000.0
 	simStepBase    = 0.012
 	simStepSlope   = 0.0003
 	simCacheTokens = 60000
 	simReport      = 0.5
-	simWarm        = 10.0
-	simEnd         = 40.0
 	simIdlePaid    = 1.0 // seconds a server is paid after its last request
 	simTarget      = 0.42
 )
 
+// Size of the simulation; tests may change it for their duration.
+var (
+	simServers = 40
+	simRouters = 8
+	simWarm    = 10.0
+	simEnd     = 40.0
+)
+
 // workload is a mix of requests: a prefix shared by the requests of one topic, and a tail of their own.
 type workload struct {
 	name                 string
@@ -46,7 +50,7 @@
 func (w workload) capacity() float64 {
 	decode := float64(w.output) * (simStepBase + simSlots*simStepSlope)
 	prefill := (float64(w.prefix)/2 + float64(w.tail)) / simPrefillRate
-	return simServers / max(prefill, decode/simSlots+prefill/2)
+	return float64(simServers) / max(prefill, decode/simSlots+prefill/2)
 }
 
 type simRequest struct {
@@ -318,6 +322,20 @@
 	return price, load
 }
 
+// Many nodes that see the same late reports must not send to the same servers at once.
+func TestManyNodesSpread(t *testing.T) {
+	servers, routers, warm, end := simServers, simRouters, simWarm, simEnd
+	simServers, simRouters, simWarm, simEnd = 160, 64, 3, 8
+	defer func() { simServers, simRouters, simWarm, simEnd = servers, routers, warm, end }()
+	for _, load := range []float64{0.5, 0.8} {
+		r := simulate(shortQuotes, CostAware, 0, load, 11)
+		t.Logf("load %.1f: p95 of the first token %.3f s", load, r.p95)
+		if r.p95 > simTarget/2 {
+			t.Errorf("load %.1f: p95 of the first token is %.3f s", load, r.p95)
+		}
+	}
+}
+
 var printTable = flag.Bool("table", false, "print the table of all policies")
 
 // TestPolicyGoals guards the goals against least-loaded: cost at the latency target at most 0.7 of it, tokens
