--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -83,7 +83,11 @@
 
 // endError returns the error that a response ended with. Generation started, so the request ran.
 func endError(end stream.End) *code.Error {
-	return code.New(end.Code, "the response could not be completed").WithRan(code.RanYes).After(time.Second)
+	e := code.New(end.Code, "the response could not be completed").WithRan(code.RanYes)
+	if end.Code == code.RequestQuarantined {
+		return e // a retry is refused as well
+	}
+	return e.After(time.Second)
 }
 
 // writeStream sends the response as server-sent events from the answer's offset on.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/pollenlug/pollenlug/internal/metrics"
 	"github.com/pollenlug/pollenlug/pkg/code"
 )
 
@@ -39,10 +40,15 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		e = code.Wrap(code.CallerGone, e.Ran, "the caller closed the connection", err)
 	}
-	g.Metrics.Refusal(e.Code)
 	if e.Code == code.Internal {
 		g.Log.WithError(err).Error("request failed with an internal error")
 	}
+	Refuse(w, g.Metrics, e)
+}
+
+// Refuse answers a request with a code and counts it.
+func Refuse(w http.ResponseWriter, counters *metrics.Set, e *code.Error) {
+	counters.Refusal(e.Code)
 	body, _ := json.Marshal(newRefusal(e))
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -29,6 +29,8 @@
 	listRole      = "instance-list-reader"
 	noticeRole    = "notice-reader"
 	noticeReaders = 2
+	// purgeRole is held by the node that deletes old rows of non-repeatable calls.
+	purgeRole = "claim-purger"
 	// configKeyPrefix precedes the node in the item that announces the newest configuration it has in force. Each
 	// node writes its own item, because two nodes must not write one item with the same version.
 	configKeyPrefix = "config/"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/pollenlug/pollenlug/internal/transport"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 	"github.com/pollenlug/pollenlug/pkg/claim"
+	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/configstore"
 	"github.com/pollenlug/pollenlug/pkg/limit"
@@ -45,6 +46,11 @@
 	bytesPerKiB           = 1024
 	// expireInterval is how often old responses are dropped.
 	expireInterval = 10 * time.Second
+	// purgeInterval and purgeRows bound what the deletion of old claims costs the table service: 0.2 reads a second.
+	purgeInterval = 5 * time.Second
+	purgeRows     = 256
+	// defaultMaxOpen bounds the open requests of a node; each stream takes about 32 KiB.
+	defaultMaxOpen = 20_000
 	// shutdownTimeout bounds the last step of an exit.
 	shutdownTimeout = 2 * time.Second
 )
@@ -91,6 +97,7 @@
 	guard        *guard
 	server       *http.Server
 
+	folderFaults atomic.Pointer[folderFaults]
 	leaving      atomic.Bool
 	drained      chan struct{}
 	openRequests atomic.Int64
@@ -173,6 +180,7 @@
 	n.cluster.watchConfig(func(version uint64, digest, node string) {
 		n.config.Offer(context.Background(), version, digest, node)
 	})
+	n.cluster.gossip.Watch(folderFaultKey, n.heardFolderFaults)
 	n.server = n.newServer()
 }
 
@@ -258,11 +266,19 @@
 	return out
 }
 
-// countOpen counts open requests; a drain waits for them.
+// countOpen counts open requests, for which a drain waits, and refuses those above the limit.
 func (n *Node) countOpen(next http.Handler) http.Handler {
+	limit := int64(defaultMaxOpen)
+	if set := n.opts.Settings.Edge.GetMaxOpenStreams(); set > 0 {
+		limit = int64(set)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.openRequests.Add(1)
 		defer n.openRequests.Add(-1)
+		if n.openRequests.Add(1) > limit {
+			e := code.New(code.QueueFull, "the entry node has too many open requests").After(time.Second)
+			gateway.Refuse(w, n.metrics, e)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -344,11 +360,26 @@
 		n.expire,
 		n.exchangeDemand,
 		n.guard.run,
+		n.purgeClaims,
+		n.shareFolderFaults,
 	} {
 		wg.Go(func() { run(ctx) })
 	}
 }
 
+// purgeClaims deletes old rows of non-repeatable calls while this node has that role.
+func (n *Node) purgeClaims(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, purgeInterval)
+		if !n.cluster.hasRole(purgeRole, 1) {
+			continue
+		}
+		if _, err := n.claims.Purge(ctx, purgeRows); err != nil {
+			n.log.WithError(err).Debug("old rows of non-repeatable calls cannot be deleted now")
+		}
+	}
+}
+
 // expire drops old responses.
 func (n *Node) expire(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -21,6 +21,7 @@
 	State         string             `json:"state"`
 	Waiting       []string           `json:"waiting_for,omitempty"`
 	Config        configstore.Status `json:"config"`
+	FolderFaults  *folderFaults      `json:"folder_faults,omitempty"`
 	Members       []memberStatus     `json:"members"`
 	Servers       []serverStatus     `json:"servers"`
 	Responses     responseStatus     `json:"responses"`
@@ -70,6 +71,7 @@
 		State:         n.state(),
 		Waiting:       n.waitingFor(),
 		Config:        n.config.Status(),
+		FolderFaults:  n.openFolderFaults(),
 		Members:       n.memberStatus(),
 		Servers:       n.serverStatus(),
 		Responses:     responseStatus{n.runner.Running(), n.logs.Len(), n.openRequests.Load()},
