--- a/pkg/claim/random_test.go
+++ b/pkg/claim/random_test.go
@@ -100,7 +100,7 @@
 	{MinLatency: time.Millisecond, MaxLatency: 30 * time.Millisecond, LostPercent: 30, StalePercent: 50, MaxStale: 4 * time.Second},
 	{MinLatency: time.Millisecond, MaxLatency: 9 * time.Millisecond, LatePercent: 40, MaxLate: 20 * time.Second, StalePercent: 30, MaxStale: 4 * time.Second},
 	{MinLatency: time.Millisecond, MaxLatency: 600 * time.Millisecond},
-	{LostPercent: 40, LostHangs: true, LatePercent: 20, MaxLate: time.Minute},
+	{MinLatency: time.Microsecond, MaxLatency: time.Millisecond, LostPercent: 40, LostHangs: true, LatePercent: 20, MaxLate: time.Minute},
 	{Outage: table.Refusing},
 	{Outage: table.Hanging},
 }
@@ -214,6 +214,9 @@
 	c := newCluster(p.seed, planNodes)
 	c.service.queryable = p.queryable
 	live := append([]*testNode(nil), c.nodes...)
+	for _, n := range live {
+		n.store.SetFaults(storeFaults[0])
+	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var rechecks []func()
@@ -259,6 +262,7 @@
 		n.set(true, true)
 		n.store.SetFaults(table.Faults{Outage: table.Refusing})
 		live[s.node] = c.start()
+		live[s.node].store.SetFaults(storeFaults[0])
 	default:
 		n.store.SetFaults(storeFaults[s.fault])
 	}
@@ -277,7 +281,7 @@
 func (c *cluster) checkEnd(h *history, live []*testNode) {
 	for _, n := range live {
 		n.set(false, false)
-		n.store.SetFaults(table.Faults{})
+		n.store.SetFaults(storeFaults[0])
 	}
 	time.Sleep(2 * time.Minute)
 	for _, n := range live {
