--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -49,6 +49,9 @@
 	indirectPeers = 2
 	// anyNodeEvery makes one of so many probes go to any node instead of one of the view; each costs a handshake.
 	anyNodeEvery = 20
+	// alarmTime is how long after a suspicion half of the probes go to other nodes of the same failure domain, so
+	// that the loss of a domain is found without waiting for each node to be in someone's view.
+	alarmTime = 10 * time.Second
 	// deadAfter is how long a suspected node has to refute.
 	deadAfter = 3 * time.Second
 	// regionTimeout is how long all probes of a region must fail until it counts as out of touch.
@@ -57,8 +60,9 @@
 	// failed, without the help of others. A lost failure domain fails a quarter to a third of them.
 	selfWindow = 8
 	selfProbes = 6
-	// itemTTL is how long a member is known without a sign of life; refreshPeriod renews the own item. Three
-	// renewals may get lost.
+	// itemTTL is how long a member is known without a sign of life; refreshPeriod is the most time between two
+	// renewals of the own item, of which three may get lost. Each node picks a random part of its second half, so
+	// that nodes started together do not renew together.
 	itemTTL       = 10 * time.Minute
 	refreshPeriod = 150 * time.Second
 	// loadPeriod is the least time between two items that only report load: 400 nodes share the gossip budget.
@@ -110,6 +114,9 @@
 	target   string
 	sent     time.Time
 	indirect time.Time // when the indirect probes were sent; zero before
+	// alarmed marks a probe of a failure domain with a suspicion. It does not count for self-suspicion, because
+	// many of them fail when a domain is lost.
+	alarmed bool
 	// asked are the peers of the indirect probes.
 	asked []string
 	// origin and number identify the request of another node that this probe serves.
@@ -131,15 +138,19 @@
 	status      pb.MemberState_Status
 	load        uint32
 	published   time.Time
-	publishDue  bool
-	urgent      bool
-	probes      map[uint64]*probe
-	nextNumber  uint64
+	// refreshAfter is the time from published to the next renewal.
+	refreshAfter time.Duration
+	publishDue   bool
+	urgent       bool
+	probes       map[uint64]*probe
+	nextNumber   uint64
 	nextProbe, nextRegion,
 	nextAccuse time.Time
 	results    []bool // of own probes, newest last
 	regionSeen map[string]time.Time
 	regionLost map[string]bool
+	// alarms has the time of the last suspicion in each failure domain.
+	alarms map[string]time.Time
 	// regionMissed is set after a failed probe of another region; the next one goes to any node, because the few
 	// of the view may all be gone.
 	regionMissed bool
@@ -159,7 +170,7 @@
 func NewCore(cfg Config, g *gossip.Core) *Core {
 	c := &Core{cfg: cfg, g: g, records: map[string]*record{}, incarnation: cfg.Incarnation, status: pb.MemberState_ALIVE,
 		publishDue: true, probes: map[uint64]*probe{}, regionSeen: map[string]time.Time{},
-		regionLost: map[string]bool{}, dirty: true}
+		regionLost: map[string]bool{}, alarms: map[string]time.Time{}, dirty: true}
 	g.Watch(keyPrefix, c.note)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -391,6 +402,7 @@
 	if state.Status == pb.MemberState_SUSPECT {
 		if r.suspected.IsZero() {
 			r.suspected = now
+			c.alarms[r.FailureDomain] = now
 		}
 		return
 	}
@@ -422,7 +434,7 @@
 // publish writes the own item when something changed or it needs renewal.
 func (c *Core) publish(now time.Time) {
 	age := now.Sub(c.published)
-	if !(c.urgent || c.publishDue && age >= loadPeriod || age >= refreshPeriod) {
+	if !(c.urgent || c.publishDue && age >= loadPeriod || age >= c.refreshAfter) {
 		return
 	}
 	state := &pb.MemberState{Status: c.status, Region: c.cfg.Region, FailureDomain: c.cfg.FailureDomain,
@@ -433,6 +445,7 @@
 	}
 	c.put(now, c.cfg.Node, c.incarnation, sequence, state, c.urgent)
 	c.published, c.publishDue, c.urgent = now, false, false
+	c.refreshAfter = refreshPeriod/2 + time.Duration(c.cfg.Rand.Int64N(int64(refreshPeriod/2)))
 }
 
 // put writes a member item.
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -209,6 +209,7 @@
 func TestIsolatedNodeSuspectsItself(t *testing.T) {
 	c := newCluster(t, 24, 5)
 	c.net.Run(10 * time.Second)
+	before := c.cores["n006"].Self().Incarnation
 	c.cut = func(from, to membership.Config) bool { return from.Node == "n006" || to.Node == "n006" }
 	c.until(20*time.Second, "n006 suspects itself", func() bool { return c.cores["n006"].Self().Status == suspect })
 	c.until(10*time.Second, "others see n006 as dead", func() bool { return c.count("n006", dead) == 23 })
@@ -217,6 +218,7 @@
 	}
 	c.cut = nil
 	c.until(30*time.Second, "n006 is back", func() bool { return c.count("n006", alive) == 24 })
+	assert.Assert(t, c.cores["n006"].Self().Incarnation > before, "a refutation needs a higher incarnation")
 }
 
 // Guards against false deaths when regions lose contact for minutes: the other region is suspected as a whole,
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -14,17 +14,25 @@
 	var out []gossip.Message
 	if !now.Before(c.nextProbe) {
 		c.nextProbe = now.Add(probePeriod)
-		out = append(out, c.probe(now, c.pickTarget(true), probe{})...)
+		target, alarmed := c.pickTarget(now, true)
+		out = append(out, c.probe(now, target, probe{alarmed: alarmed})...)
 	}
 	if !now.Before(c.nextRegion) {
 		c.nextRegion = now.Add(probePeriod)
-		out = append(out, c.probe(now, c.pickTarget(false), probe{})...)
+		target, _ := c.pickTarget(now, false)
+		out = append(out, c.probe(now, target, probe{})...)
 	}
 	return out
 }
 
-// pickTarget returns a node to probe in the own region or in another one, or an empty name.
-func (c *Core) pickTarget(ownRegion bool) string {
+// pickTarget returns a node to probe in the own region or in another one, or an empty name, and whether it was
+// picked because of a suspicion in its failure domain.
+func (c *Core) pickTarget(now time.Time, ownRegion bool) (target string, alarmed bool) {
+	if ownRegion && c.cfg.Rand.IntN(2) == 0 {
+		if candidates := c.alarmed(now); len(candidates) > 0 {
+			return candidates[c.cfg.Rand.IntN(len(candidates))], true
+		}
+	}
 	var candidates []string
 	if c.cfg.Rand.IntN(anyNodeEvery) > 0 && (ownRegion || !c.regionMissed) {
 		for _, p := range c.g.View() {
@@ -41,9 +49,25 @@
 		}
 	}
 	if len(candidates) == 0 {
-		return ""
+		return "", false
+	}
+	return candidates[c.cfg.Rand.IntN(len(candidates))], false
+}
+
+// alarmed returns the nodes of the own region in failure domains with a recent suspicion.
+func (c *Core) alarmed(now time.Time) []string {
+	maps.DeleteFunc(c.alarms, func(_ string, at time.Time) bool { return now.Sub(at) > alarmTime })
+	if len(c.alarms) == 0 {
+		return nil
 	}
-	return candidates[c.cfg.Rand.IntN(len(candidates))]
+	var out []string
+	for _, node := range slices.Sorted(maps.Keys(c.records)) {
+		r := c.records[node]
+		if _, ok := c.alarms[r.FailureDomain]; ok && c.wanted(r, true) {
+			out = append(out, node)
+		}
+	}
+	return out
 }
 
 // wanted reports whether the node is worth a probe. A suspected node is decided already.
@@ -101,7 +125,7 @@
 		if p.origin != "" {
 			return c.answer(p.origin, p.number, true)
 		}
-		if r := c.records[from]; p.indirect.IsZero() && r != nil && r.Region == c.cfg.Region {
+		if r := c.records[from]; p.indirect.IsZero() && !p.alarmed && r != nil && r.Region == c.cfg.Region {
 			c.result(true)
 		}
 	case !slices.Contains(p.asked, from):
@@ -150,7 +174,7 @@
 	r := c.records[p.target]
 	if r != nil && r.Region != c.cfg.Region {
 		c.regionMissed = true
-	} else {
+	} else if !p.alarmed {
 		c.result(false)
 	}
 	if r == nil || r.Region != c.cfg.Region || c.selfSuspected() {
@@ -207,6 +231,7 @@
 		return
 	}
 	r.suspected, c.dirty = now, true
+	c.alarms[r.FailureDomain] = now
 	c.put(now, node, r.Incarnation, r.sequence+1, &pb.MemberState{Status: pb.MemberState_SUSPECT,
 		Reporter: c.cfg.Node, ReporterDomain: c.cfg.FailureDomain}, true)
 }
