Accept responses without a replica only when no other node answers; make the outcome retention follow the policy

Cause: after one node of three was killed and another left, the last node refused every request with replication_unavailable for as long as the dead node was not confirmed dead, which needs a second observer. Found by the test with separate processes. Ruled out: declaring the node dead on one observation, which would let a cut link kill healthy nodes. Nodes that did not answer an open within 3 s are now passed over; 503 before, 200 after in the test.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -395,6 +395,7 @@
 	policy := current.Index.Policy()
 	n.router.SetTargets(policy.FirstToken, policy.BetweenTokens, policy.RecomputeWeight)
 	n.guard.setPolicy(policy)
+	n.claims.SetRetention(policy.OutcomeRetention)
 	n.serverLimits.SetTarget(policy.FirstToken)
 	setWorkspaces(n.admission, current.Index)
 	n.cluster.announceConfig(current.Version, current.Digest)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -17,6 +17,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,6 +41,8 @@
 	openTries = 3
 	// appendTimeout bounds one progress message.
 	appendTimeout = time.Second
+	// silentMemory is how long a node that did not answer is asked last.
+	silentMemory = 3 * time.Second
 	// maxAppendFailures is how many messages in a row may fail before another replica is chosen.
 	maxAppendFailures = 2
 )
@@ -74,6 +78,7 @@
 	copies  map[string]*replicaState
 	dirty   map[string]*stream.Log
 	mirrors map[string]*mirror
+	silent  map[string]time.Time // nodes that did not answer an open, and when
 }
 
 // replicaState is the replica of one log, as its home node knows it. Only the flush loop changes it after Open.
@@ -90,6 +95,7 @@
 		copies:  map[string]*replicaState{},
 		dirty:   map[string]*stream.Log{},
 		mirrors: map[string]*mirror{},
+		silent:  map[string]time.Time{},
 	}
 }
 
@@ -113,15 +119,12 @@
 	return out
 }
 
-// Open copies an accepted request to a replica. With no other live node the response goes on without one, since
-// refusing it would help nobody; a counter shows it.
+// Open copies an accepted request to a replica. When no other node answers, the response goes on without a replica,
+// since refusing it would help nobody; a counter shows it. When some did not answer and others were not asked, the
+// request is refused.
 func (r *Replicator) Open(ctx context.Context, log *stream.Log) error {
 	id := log.Meta().ID
-	candidates := r.candidates(id, r.Self, openTries)
-	if len(candidates) == 0 {
-		r.Metrics.Add("responses_without_replica", 1)
-		return nil
-	}
+	candidates := r.answering(id)
 	for _, peer := range candidates {
 		if err := r.openAt(ctx, peer, log); err != nil {
 			r.Metrics.Retry("replica_open")
@@ -132,14 +135,44 @@
 		r.mu.Unlock()
 		return nil
 	}
-	return code.New(code.ReplicationUnavailable, "no second node took a copy of the request").After(time.Second)
+	if len(candidates) == openTries || ctx.Err() != nil {
+		return code.New(code.ReplicationUnavailable, "no second node took a copy of the request").After(time.Second)
+	}
+	r.Metrics.Add("responses_without_replica", 1)
+	return nil
+}
+
+// answering returns the first candidates, without the nodes that did not answer lately: the view of the members may
+// not show yet that they are gone, and each would delay the caller by openTimeout.
+func (r *Replicator) answering(id string) []membership.Member {
+	now := time.Now()
+	r.mu.Lock()
+	silent := maps.Clone(r.silent)
+	r.mu.Unlock()
+	candidates := r.candidates(id, r.Self, openTries+len(silent))
+	candidates = slices.DeleteFunc(candidates, func(m membership.Member) bool {
+		return now.Sub(silent[m.Node]) < silentMemory
+	})
+	return candidates[:min(openTries, len(candidates))]
+}
+
+func (r *Replicator) setSilent(node string, silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if silent {
+		r.silent[node] = time.Now()
+	} else {
+		delete(r.silent, node)
+	}
 }
 
 func (r *Replicator) openAt(ctx context.Context, peer membership.Member, log *stream.Log) error {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	body := &pb.Envelope_StreamOpen{StreamOpen: log.Open()}
-	return r.acknowledged(r.Transport.Request(ctx, peer.NodeAddr, &pb.Envelope{Body: body}))
+	answer, err := r.Transport.Request(ctx, peer.NodeAddr, &pb.Envelope{Body: body})
+	r.setSilent(peer.Node, err != nil)
+	return r.acknowledged(answer, err)
 }
 
 func (r *Replicator) acknowledged(answer *pb.Envelope, err error) error {
--- a/pkg/claim/attempt.go
+++ b/pkg/claim/attempt.go
@@ -83,7 +83,7 @@
 		Node:          c.o.Node,
 		RequestDigest: e.digest[:],
 		CreatedUnixMs: uint64(now.UnixMilli()),
-		ExpiresUnixMs: uint64(now.Add(c.o.Retention).UnixMilli()),
+		ExpiresUnixMs: c.expiry(),
 		Outcome:       outcome,
 	})
 }
--- a/pkg/claim/background.go
+++ b/pkg/claim/background.go
@@ -67,7 +67,7 @@
 	done := proto.Clone(row).(*pb.ClaimRow)
 	done.State = pb.ClaimRow_DONE
 	done.Outcome = out.toPB()
-	done.ExpiresUnixMs = uint64(c.o.Now().Add(c.o.Retention).UnixMilli())
+	done.ExpiresUnixMs = c.expiry()
 	t := &task{c: c, key: key, attempt: row.Attempt, state: pb.ClaimRow_DONE, value: marshal(done), finish: func() {}}
 	t.cond = platform.Condition{Kind: platform.VersionIs, Version: version}
 	t.start()
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -39,6 +39,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -188,6 +189,8 @@
 	// shards hold the attempts by row key.
 	shards [shardCount]shard
 	open   counter
+	// retention is how long rows are kept, in nanoseconds.
+	retention atomic.Int64
 	// background counts the background writes among the open ones.
 	background counter
 	// purgeAfter is the last key that Purge has seen.
@@ -199,6 +202,7 @@
 func New(o Options) *Claims {
 	o.setDefaults()
 	c := &Claims{o: o}
+	c.retention.Store(int64(o.Retention))
 	c.group = &grouper{table: o.Table, wait: o.GroupWait, rows: o.GroupRows, timeout: o.StoreTimeout}
 	for i := range c.shards {
 		c.shards[i].entries = map[string]*entry{}
@@ -309,6 +313,17 @@
 	return &pb.AttemptState{State: pb.AttemptState_RUNNING}
 }
 
+// SetRetention changes how long rows that are written from now on are kept.
+func (c *Claims) SetRetention(d time.Duration) {
+	if d > 0 {
+		c.retention.Store(int64(d))
+	}
+}
+
+func (c *Claims) expiry() uint64 {
+	return uint64(c.o.Now().Add(time.Duration(c.retention.Load())).UnixMilli())
+}
+
 // Stats are current numbers.
 type Stats struct {
 	// Open counts attempts that run and background writes.
