--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -13,7 +12,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pollenlug/pollenlug/internal/pb"
-	"github.com/pollenlug/pollenlug/internal/transport"
 	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/gossip"
 	"github.com/pollenlug/pollenlug/pkg/membership"
@@ -43,15 +41,16 @@
 // cluster is a node's view of the other nodes: membership, gossip and the requests to peers.
 type cluster struct {
 	self      membership.Member
-	transport *transport.Transport
+	transport Transport
 	gossip    *gossip.Runner
 	view      *membership.Runner
+	random    *random
 	log       *logrus.Entry
 }
 
-func newCluster(s *pb.NodeSettings, t *transport.Transport, list platform.InstanceList, log *logrus.Entry) *cluster {
+func newCluster(s *pb.NodeSettings, t Transport, list platform.InstanceList, random *random, log *logrus.Entry) *cluster {
 	incarnation := uint64(time.Now().UnixMilli())
-	core := gossip.NewCore(gossip.Config{Node: s.Node, Region: s.Region, Incarnation: incarnation, Rand: newRand()})
+	core := gossip.NewCore(gossip.Config{Node: s.Node, Region: s.Region, Incarnation: incarnation, Rand: random.fork()})
 	members := membership.NewCore(membership.Config{
 		Node:          s.Node,
 		Region:        s.Region,
@@ -59,13 +58,14 @@
 		NodeAddr:      s.NodeAddr,
 		CallerAddr:    s.CallerAddr,
 		Incarnation:   incarnation,
-		Rand:          newRand(),
+		Rand:          random.fork(),
 	}, core)
 	return &cluster{
 		self:      members.Self(),
 		transport: t,
 		gossip:    gossip.NewRunner(core, t),
 		view:      membership.NewRunner(members, t, list, log),
+		random:    random,
 		log:       log,
 	}
 }
@@ -101,8 +101,6 @@
 // readsFolder reports whether this node is one of those that read the operators' folder.
 func (c *cluster) readsFolder() bool { return c.hasRole(folderRole, folderReaders) }
 
-func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
 // handle answers messages of gossip and membership.
 func (c *cluster) handle(_ context.Context, from string, env *pb.Envelope) (*pb.Envelope, error) {
 	c.view.Receive(from, env)
@@ -113,7 +111,7 @@
 func (c *cluster) Sample(n int) []string {
 	var out []string
 	live := c.live()
-	for _, i := range rand.Perm(len(live)) {
+	for _, i := range c.random.perm(len(live)) {
 		if len(out) == n {
 			break
 		}
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -54,7 +54,7 @@
 	core := loadview.NewCore(loadview.Config{
 		Node:          n.opts.Settings.Node,
 		FailureDomain: n.opts.Settings.FailureDomain,
-		Rand:          newRand(),
+		Rand:          n.random.fork(),
 	}, n.cluster.gossip, n.cluster.view)
 	l.view = loadview.NewRunner(core, n.transport, l.poll)
 	n.cluster.gossip.Watch(workerPrefix, l.heard)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,16 @@
 	Weights   platform.Weights
 }
 
+// Transport carries messages between nodes; *transport.Transport implements it.
+type Transport interface {
+	// Send sends a message without an answer; it may get lost.
+	Send(addr string, env *pb.Envelope)
+	// Request returns the answer of the node at addr.
+	Request(ctx context.Context, addr string, env *pb.Envelope) (*pb.Envelope, error)
+	SetHandler(h func(ctx context.Context, from string, env *pb.Envelope) (*pb.Envelope, error))
+	Close() error
+}
+
 // Options are what a node is built from.
 type Options struct {
 	Settings    *pb.NodeSettings
@@ -73,6 +83,12 @@
 	Engine      backend.Engine
 	Service     backend.Service
 	Log         *logrus.Entry
+	// Transport replaces QUIC between nodes; nil means QUIC at the settings' node_addr with the Credentials.
+	Transport Transport
+	// Listen opens the listener for callers; nil means TCP.
+	Listen func(addr string) (net.Listener, error)
+	// Seed fixes the random choices, for tests; 0 means different ones in each process.
+	Seed uint64
 }
 
 // Node is one entry node.
@@ -80,8 +96,9 @@
 	opts    Options
 	log     *logrus.Entry
 	metrics *metrics.Set
+	random  *random
 
-	transport    *transport.Transport
+	transport    Transport
 	cluster      *cluster
 	config       *configstore.Store
 	router       *route.Router
@@ -113,31 +130,43 @@
 		opts:      opts,
 		log:       opts.Log,
 		metrics:   metrics.NewSet(),
+		random:    newRandom(opts.Seed, opts.Settings.Node),
 		logs:      stream.NewStore(),
 		drained:   make(chan struct{}),
 		reclaimed: make(chan time.Time, 1),
 		killed:    make(chan struct{}),
 	}
-	var err error
-	n.transport, err = transport.New(transport.Options{
-		Node:        opts.Settings.Node,
-		Region:      opts.Settings.Region,
-		Addr:        opts.Settings.NodeAddr,
-		Credentials: opts.Credentials,
-		Log:         opts.Log,
-	})
-	if err != nil {
-		return nil, merry.Prepend(err, "node_addr")
+	if err := n.openTransport(); err != nil {
+		return nil, err
 	}
 	n.build()
 	n.transport.SetHandler(n.handle)
 	return n, nil
 }
 
+func (n *Node) openTransport() error {
+	if n.opts.Transport != nil {
+		n.transport = n.opts.Transport
+		return nil
+	}
+	quic, err := transport.New(transport.Options{
+		Node:        n.opts.Settings.Node,
+		Region:      n.opts.Settings.Region,
+		Addr:        n.opts.Settings.NodeAddr,
+		Credentials: n.opts.Credentials,
+		Log:         n.log,
+	})
+	if err != nil {
+		return merry.Prepend(err, "node_addr")
+	}
+	n.transport = quic
+	return nil
+}
+
 // build connects the parts.
 func (n *Node) build() {
 	s, p := n.opts.Settings, n.opts.Platform
-	n.cluster = newCluster(s, n.transport, p.Instances, n.log)
+	n.cluster = newCluster(s, n.transport, p.Instances, n.random, n.log)
 	n.config = configstore.New(configstore.Options{
 		Table:   p.Table,
 		Objects: p.Objects,
@@ -145,6 +174,7 @@
 		Peers:   n.cluster,
 		Node:    s.Node,
 		Leader:  n.cluster.readsFolder,
+		Rand:    n.random.fork(),
 		Logger:  keyvalLogger{n.log},
 	})
 	n.router = route.New(route.Options{
@@ -227,6 +257,7 @@
 	n.claims = claim.New(claim.Options{
 		Table:    n.opts.Platform.Table,
 		Node:     n.opts.Settings.Node,
+		Jitter:   n.random.float64,
 		Peers:    n.cluster,
 		Outcomes: n.dispatcher,
 	})
@@ -239,6 +270,7 @@
 		Node: n,
 		Responses: &responses{
 			node:         n.opts.Settings.Node,
+			unique:       n.random.unique,
 			leaving:      n.leaving.Load,
 			strikes:      n.guard,
 			countRequest: n.guard.Request,
@@ -285,7 +317,7 @@
 
 // Run serves until ctx ends or the instance is reclaimed, then drains and returns.
 func (n *Node) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", n.opts.Settings.CallerAddr)
+	listener, err := n.listen()
 	if err != nil {
 		_ = n.transport.Close()
 		return merry.Prepend(err, "caller_addr")
@@ -303,6 +335,13 @@
 	return err
 }
 
+func (n *Node) listen() (net.Listener, error) {
+	if n.opts.Listen != nil {
+		return n.opts.Listen(n.opts.Settings.CallerAddr)
+	}
+	return net.Listen("tcp", n.opts.Settings.CallerAddr)
+}
+
 // awaitEnd returns after the node has drained, was killed or has failed.
 func (n *Node) awaitEnd(ctx context.Context, failed <-chan error) error {
 	var deadline time.Time
--- a/internal/node/responses.go
+++ b/internal/node/responses.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"sync"
 	"time"
 
@@ -16,12 +14,10 @@
 	"github.com/pollenlug/pollenlug/pkg/strike"
 )
 
-// uniqueBytes makes the ids of two responses of one node differ.
-const uniqueBytes = 8
-
 // responses accepts requests and finds responses; it implements gateway.Responses.
 type responses struct {
 	node    string
+	unique  func() string
 	leaving func() bool
 	strikes generate.Strikes
 	// countRequest adds a first attempt to the retry budget.
@@ -62,7 +58,7 @@
 
 func (r *responses) meta(req gateway.StartRequest) stream.Meta {
 	return stream.Meta{
-		ID:        replica.NewID(r.node, unique()),
+		ID:        replica.NewID(r.node, r.unique()),
 		Workspace: req.Workspace.Name,
 		Home:      r.node,
 		Path:      req.Path,
@@ -86,12 +82,6 @@
 	return nil
 }
 
-func unique() string {
-	var b [uniqueBytes]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
 // Attach implements gateway.Responses.
 func (r *responses) Attach(ctx context.Context, workspace, id string) (*gateway.Generation, error) {
 	log, release, err := r.replicator.Attach(ctx, workspace, id)
