Implement progress_before_delivery and connect outlier ejection

The setting was in the schema without effect. The runner now sends tokens to the replica before it appends them; the test fails without that and passes with it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,6 +60,8 @@
 	Service backend.Service
 	Budget  Budget
 	Strikes Strikes
+	// Health learns which servers fail.
+	Health  interface{ Observe(server string, ok bool) }
 	Config  func() *config.Index
 	Metrics *metrics.Set
 	Log     *logrus.Entry
@@ -252,6 +254,7 @@
 	begin := time.Now()
 	response, err := d.Service.Call(ctx, pick.Server.Addr, request)
 	result := route.Result{FirstToken: time.Since(begin), Outcome: route.Succeeded}
+	d.Health.Observe(pick.Server.ID, err == nil || errors.Is(err, backend.ErrRefused))
 	if err != nil {
 		result.Outcome = route.Failed
 		d.Log.WithError(err).WithField("server", pick.Server.ID).Info("service call failed")
--- a/internal/generate/attempt.go
+++ b/internal/generate/attempt.go
@@ -146,7 +146,7 @@
 			result.FirstToken = time.Since(sent)
 			pick.Started()
 		}
-		return r.accept(run, number, chunk, &result)
+		return r.accept(attemptCtx, run, number, chunk, &result)
 	})
 	if limited {
 		r.Limits.Release(pick.Server.ID, result.FirstToken)
@@ -178,6 +178,7 @@
 	case err == nil:
 		result.Outcome = route.Succeeded
 		run.failed = nil
+		r.Health.Observe(server.ID, true)
 	case errors.Is(err, errMove), ctx.Err() != nil:
 		result.Outcome = route.Cancelled
 	case errors.Is(err, backend.ErrRefused):
@@ -185,6 +186,7 @@
 		run.failed = append(run.failed, server.ID)
 	default:
 		run.failed = append(run.failed, server.ID)
+		r.Health.Observe(server.ID, false)
 		r.Log.WithError(err).WithField("server", server.ID).Info("attempt failed")
 	}
 	pick.Done(result)
@@ -239,9 +241,12 @@
 }
 
 // accept copies one chunk into the log.
-func (r *Runner) accept(run *run, attempt uint32, chunk backend.Chunk, result *route.Result) error {
+func (r *Runner) accept(ctx context.Context, run *run, attempt uint32, chunk backend.Chunk, result *route.Result) error {
 	now := time.Now()
 	if len(chunk.Tokens) > 0 {
+		if r.Config().Policy().ProgressFirst {
+			r.Progress.Confirm(ctx, run.log, attempt, chunk.Offset, chunk.Tokens)
+		}
 		if _, err := run.log.Append(attempt, chunk.Offset, chunk.Tokens, now); err != nil {
 			return err
 		}
--- a/internal/generate/runner.go
+++ b/internal/generate/runner.go
@@ -94,6 +94,13 @@
 // Progress is told about changes of a log, so that the replica receives them.
 type Progress interface {
 	Changed(log *stream.Log)
+	// Confirm returns when the replica has the tokens, which are not in the log yet, or cannot get them.
+	Confirm(ctx context.Context, log *stream.Log, attempt, offset uint32, tokens []string)
+}
+
+// Health learns which servers fail.
+type Health interface {
+	Observe(server string, ok bool)
 }
 
 // Options are the parts of a Runner.
@@ -104,6 +111,7 @@
 	Strikes  Strikes
 	Limits   ServerLimits
 	Progress Progress
+	Health   Health
 	// Config returns the configuration in force.
 	Config func() *config.Index
 	// Moves limits the moves that run at a time.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,8 @@
 	purgeRows     = 256
 	// defaultMaxOpen bounds the open requests of a node; each stream takes about 32 KiB.
 	defaultMaxOpen = 20_000
+	// maxEjectedPercent bounds the servers of a group that are passed over because they fail.
+	maxEjectedPercent = 30
 	// shutdownTimeout bounds the last step of an exit.
 	shutdownTimeout = 2 * time.Second
 )
@@ -88,6 +90,7 @@
 	tracker      *servers.Tracker
 	loads        *loads
 	serverLimits *limit.ServerLimits
+	outliers     *limit.Outliers
 	logs         *stream.Store
 	replicator   *replica.Replicator
 	runner       *generate.Runner
@@ -154,6 +157,7 @@
 	})
 	n.guard = newGuard(n.cluster, n.metrics)
 	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: minSlots})
+	n.outliers = limit.NewOutliers(maxEjectedPercent, time.Now)
 	n.serverLimits = limit.NewServerLimits(config.DefaultFirstToken, time.Now)
 	n.loads = newLoads(n)
 	n.buildResponses()
@@ -164,6 +168,7 @@
 		Router:       n.router,
 		Config:       n.Config,
 		Load:         n.loads.get,
+		Allow:        n.outliers.Allow,
 		ReadsList:    func() bool { return n.cluster.hasRole(listRole, 1) },
 		ReadsNotices: func() bool { return n.cluster.hasRole(noticeRole, noticeReaders) },
 		Gossip:       n.cluster.gossip,
@@ -192,6 +197,7 @@
 		Strikes:  n.guard,
 		Limits:   n.serverLimits,
 		Progress: progress{n},
+		Health:   n.outliers,
 		Config:   n.Config,
 		Metrics:  n.metrics,
 		Log:      n.log,
@@ -214,12 +220,18 @@
 // Changed implements generate.Progress.
 func (p progress) Changed(log *stream.Log) { p.node.replicator.Changed(log) }
 
+// Confirm implements generate.Progress.
+func (p progress) Confirm(ctx context.Context, log *stream.Log, attempt, offset uint32, tokens []string) {
+	p.node.replicator.Confirm(ctx, log, attempt, offset, tokens)
+}
+
 func (n *Node) buildServices() {
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Router:  n.router,
 		Service: n.opts.Service,
 		Budget:  n.guard,
 		Strikes: n.guard,
+		Health:  n.outliers,
 		Config:  n.Config,
 		Metrics: n.metrics,
 		Log:     n.log,
@@ -411,10 +423,13 @@
 func (n *Node) serversChanged(list []platform.Instance) {
 	n.loads.setServers(list)
 	ids := make([]string, 0, len(list))
+	groups := map[string][]string{}
 	for _, instance := range list {
 		ids = append(ids, instance.ID)
+		groups[instance.BackendGroup] = append(groups[instance.BackendGroup], instance.ID)
 	}
 	n.serverLimits.Keep(ids)
+	n.outliers.SetServers(groups)
 }
 
 // Kill stops the node at once, as when its machine is switched off.
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -72,20 +72,21 @@
 	changed chan struct{}
 }
 
-func newWorld(t testing.TB) *world {
+func newWorld(t testing.TB, progressFirst bool) *world {
 	w := &world{servers: map[string]*testServer{}, ended: make(chan struct{})}
 	for i := range testServers {
 		w.servers[fmt.Sprintf("server-%d", i)] = &testServer{changed: make(chan struct{})}
 	}
-	index := testIndex(t)
+	index := testIndex(t, progressFirst)
 	for i := range testNodes {
 		w.nodes = append(w.nodes, w.newNode(i, index))
 	}
 	return w
 }
 
-func testIndex(t testing.TB) *config.Index {
+func testIndex(t testing.TB, progressFirst bool) *config.Index {
 	merged, faults := config.Merge(map[string][]byte{"a.json": []byte(`{
+		"policy":{"progress_before_delivery":` + strconv.FormatBool(progressFirst) + `},
 		"instance_classes":[{"name":"gpu","on_demand_price_micros":1}],
 		"backend_groups":[{"name":"engines","kind":"MODEL_ENGINE","instance_classes":["gpu"]}],
 		"models":[{"name":"m","version":"1","backend_group":"engines","context_tokens":8192}],
@@ -108,6 +109,7 @@
 		Budget:   free{},
 		Strikes:  free{},
 		Limits:   free{},
+		Health:   free{},
 		Progress: progressOf{n},
 		Config:   func() *config.Index { return index },
 		Metrics:  set,
@@ -130,9 +132,15 @@
 
 func (p progressOf) Changed(log *stream.Log) { p.node.Replicator.Changed(log) }
 
+func (p progressOf) Confirm(ctx context.Context, log *stream.Log, attempt, offset uint32, tokens []string) {
+	p.node.Replicator.Confirm(ctx, log, attempt, offset, tokens)
+}
+
 // free grants everything.
 type free struct{}
 
+func (free) Observe(string, bool) {}
+
 func (free) Wait(ctx context.Context) error             { return ctx.Err() }
 func (free) Acquire(string) bool                        { return false }
 func (free) Release(string, time.Duration)              {}
@@ -395,7 +403,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 6).Draw(rt, "faults")
 		synctest.Test(t, func(*testing.T) {
-			w := newWorld(t)
+			w := newWorld(t, false)
 			defer w.start()()
 			if err := w.play(faults); err != nil {
 				rt.Errorf("%v", err)
@@ -474,7 +482,7 @@
 // Guards against a change of the order of events when a node dies while a server is reclaimed: one golden session.
 func TestSessionOfADyingHome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t)
+		w := newWorld(t, false)
 		defer w.start()()
 		assert.NilError(t, w.accept(0, "a"))
 		c := &caller{world: w, id: NewID("node-0", "a")}
@@ -490,10 +498,34 @@
 	})
 }
 
+// Guards against an answer that jumps at a takeover when the engine is not deterministic: with
+// progress_before_delivery the replica has every token that the caller has seen.
+func TestReplicaHasEveryDeliveredToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, true)
+		defer w.start()()
+		assert.NilError(t, w.accept(0, "a"))
+		id := NewID("node-0", "a")
+		replicaNode := w.nodes[0].candidates(id, w.nodes[0].Self, 1)[0].Node
+		home := w.nodes[0].Logs.Get(id)
+		changes, cancel := home.Subscribe()
+		defer cancel()
+		for home.Len() < testTokens/2 {
+			<-changes
+			delivered := home.Len()
+			for _, n := range w.nodes {
+				if n.member.Node == replicaNode {
+					assert.Assert(t, n.Logs.Get(id).Len() >= delivered, "the replica has fewer tokens than the caller")
+				}
+			}
+		}
+	})
+}
+
 // Guards against a response that another workspace can read, and against one that is found after its log has gone.
 func TestAttachRefusesOtherWorkspaces(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t)
+		w := newWorld(t, false)
 		defer w.start()()
 		assert.NilError(t, w.accept(0, "a"))
 		for _, n := range w.nodes {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -41,6 +41,8 @@
 	openTries = 3
 	// appendTimeout bounds one progress message.
 	appendTimeout = time.Second
+	// confirmTimeout bounds the delay of a token whose replica does not answer.
+	confirmTimeout = 100 * time.Millisecond
 	// silentMemory is how long a node that did not answer is asked last.
 	silentMemory = 3 * time.Second
 	// maxAppendFailures is how many messages in a row may fail before another replica is chosen.
@@ -195,6 +197,26 @@
 	}
 }
 
+// Confirm sends tokens to the replica before they are delivered to the caller, so that a takeover continues with
+// exactly what the caller has seen even when the engine is not deterministic. When the replica does not answer, the
+// tokens are delivered all the same: the flush loop looks for another replica.
+func (r *Replicator) Confirm(ctx context.Context, log *stream.Log, attempt, offset uint32, tokens []string) {
+	id := log.Meta().ID
+	r.mu.Lock()
+	state := r.copies[id]
+	r.mu.Unlock()
+	if state == nil {
+		return
+	}
+	progress := &pb.StreamProgress{ResponseId: id, Attempt: attempt, Offset: offset, Tokens: tokens}
+	env := &pb.Envelope{Body: &pb.Envelope_StreamAppend{StreamAppend: &pb.StreamAppend{Progress: []*pb.StreamProgress{progress}}}}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if r.acknowledged(r.Transport.Request(ctx, state.peer.NodeAddr, env)) != nil {
+		r.Metrics.Retry("progress_unconfirmed")
+	}
+}
+
 // Run sends progress until ctx ends.
 func (r *Replicator) Run(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -70,6 +70,8 @@
 	Config    func() *config.Index
 	// Load returns the last known load of a server.
 	Load func(server string) (Load, bool)
+	// Allow tells whether a server may get work although it has failed lately; it is asked at each renewal.
+	Allow func(server string) bool
 	// ReadsList and ReadsNotices tell whether this node reads the list and the notices for all.
 	ReadsList, ReadsNotices func() bool
 	Gossip                  Gossip
@@ -194,6 +196,9 @@
 		out.Models, out.Adapters = load.Models, load.Adapters
 		out.Suspect = load.Unreachable
 	}
+	if !t.Allow(instance.ID) {
+		out.Suspect = true
+	}
 	if index := t.Config(); index != nil {
 		if group, ok := index.Group(instance.BackendGroup); ok {
 			out.Concurrency = group.Concurrency
