--- a/pkg/limit/shares.go
+++ b/pkg/limit/shares.go
@@ -42,25 +42,25 @@
 	Concurrent       float64
 }
 
-// Timing of shares. A value that this node exported counts for its own share only after ownWindow, when all nodes in
-// touch have heard it or have noticed that they lost touch: staleAfter plus one recomputation plus a margin.
+// Timing of shares. A demand this node exported counts for its own share after ownWindow, when it counts on all nodes
+// in touch: they have heard it, gossipDelay after the export at most, have held it back for staleAfter and have computed
+// their shares again, which happens each second. ownWindow is the sum.
 const (
-	staleAfter = 3 * time.Second
-	ownWindow  = 5 * time.Second
+	staleAfter  = 3 * time.Second
+	gossipDelay = 2 * time.Second
+	ownWindow   = staleAfter + gossipDelay + time.Second
 	// lapseAfter is how long the share of a node that left stays reserved: its last requests may still arrive.
 	lapseAfter = 5 * time.Second
 	// joinShare is the part of its share that a node uses in its first ownWindow, while others may not know it yet.
 	joinShare = 0.25
-	// othersWindow is how long a higher demand of another node counts after a lower one arrived.
-	othersWindow = 2 * time.Second
 )
 
 // Shares divides limits between nodes by demand, without a store call.
 //
 // With L the limit and N the number of nodes, a node's share is its demand plus an Nth of what all demands leave of
 // L; if they exceed L, it is L divided in proportion. The sum stays below L although nodes hear of demands at
-// different times, since a node counts its own demand by the lowest value of the last seconds and that of others by
-// the highest one it has heard lately.
+// different times, since a node counts its own demand by the lowest value of ownWindow and that of others by the lowest
+// value of the shorter staleAfter: what a node counts for another is never less than what that one counts for itself.
 //
 // A node that is not heard of for staleAfter gets an Nth of L reserved, and at first its last share if that is more,
 // until it must have noticed as well. A node that lost touch with all others thus has an Nth itself. The same holds on
@@ -149,7 +149,7 @@
 		s.nodes[node] = n
 	}
 	n.heard = now
-	n.recent = appendRecord(n.recent, demands, now, othersWindow)
+	n.recent = appendRecord(n.recent, demands, now, staleAfter)
 }
 
 // Record takes this node's own demand at the moment it is exported.
@@ -234,7 +234,7 @@
 	own := s.ownDemand(workspace, now, field)
 	total := own
 	for _, n := range s.nodes {
-		total += n.highest(workspace, now, field)
+		total += n.demand(workspace, now, field)
 	}
 	var lost, reserved float64
 	inTouch := 1.0
@@ -243,7 +243,7 @@
 			inTouch++
 			continue
 		}
-		demand := n.highest(workspace, now, field)
+		demand := n.demand(workspace, now, field)
 		lost += demand
 		reserve := limit / count
 		if now.Sub(n.heard) < staleAfter+ownWindow {
@@ -283,13 +283,22 @@
 	return n.leftAt.IsZero() && now.Sub(n.heard) < staleAfter
 }
 
-// highest is the highest demand heard within othersWindow, or the last one.
-func (n *nodeDemand) highest(workspace string, now time.Time, field func(Demand) uint32) float64 {
-	highest := uint32(0)
-	for i, r := range n.recent {
-		if i == len(n.recent)-1 || now.Sub(r.at) <= othersWindow {
-			highest = max(highest, field(r.demands[workspace]))
+// demand is the lowest demand heard within staleAfter, or the highest one kept of a node that is out of touch.
+func (n *nodeDemand) demand(workspace string, now time.Time, field func(Demand) uint32) float64 {
+	if len(n.recent) == 0 {
+		return 0
+	}
+	last := field(n.recent[len(n.recent)-1].demands[workspace])
+	lowest, highest := last, last
+	for _, r := range n.recent {
+		v := field(r.demands[workspace])
+		highest = max(highest, v)
+		if now.Sub(r.at) < staleAfter {
+			lowest = min(lowest, v)
 		}
 	}
+	if n.inTouch(now) {
+		return float64(lowest)
+	}
 	return float64(highest)
 }
--- a/pkg/limit/shares_test.go
+++ b/pkg/limit/shares_test.go
@@ -229,3 +229,34 @@
 	// The price of the bound: the nodes' buckets are lowered by what they may hold, and a full bucket of one loses.
 	assert.Assert(t, c.rate() >= 0.7)
 }
+
+// A surge on all nodes must not pass the limit by what the buckets hold, nor lower what was admitted before.
+func TestSurge(t *testing.T) {
+	c := newCluster(t, 200, eight...)
+	c.offer(15)
+	c.run(20 * time.Second)
+	c.offer(75)
+	c.run(5 * time.Second)
+	t.Logf("first 5 s of the surge: %.3f of the limit", c.rate())
+	assert.Assert(t, c.rate() >= 0.6)
+	c.run(15 * time.Second)
+	c.verify("surge")
+	assert.Assert(t, c.rate() >= 0.95)
+}
+
+// Nodes that join, not known to the others yet, must not add their share to that of the others during a surge.
+func TestOvershootWhenNodesJoinInSurge(t *testing.T) {
+	c := newCluster(t, 200, eight...)
+	c.offer(15)
+	c.run(20 * time.Second)
+	for _, name := range []string{"n8", "n9", "na", "nb", "nc", "nd", "ne", "nf"} {
+		c.join(name)
+	}
+	c.cut = func(from, to string) bool { return from > "n7" || to > "n7" }
+	c.offer(75)
+	c.run(2 * time.Second)
+	c.cut = nil
+	c.tellNodes()
+	c.run(20 * time.Second)
+	c.verify("eight join")
+}
