--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -100,6 +100,7 @@
 	a := &Admission{now: opts.Now, shares: NewShares(opts.Node, opts.Now()), seed: maphash.MakeSeed()}
 	a.queue.limit = opts.QueueLimit
 	a.queue.now = opts.Now
+	a.queue.active = make(map[*workspace]bool)
 	a.queue.slots.Store(int64(opts.Concurrency))
 	for i := range a.shards {
 		a.shards[i].workspaces = make(map[string]*workspace)
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -50,24 +50,34 @@
 	return waits[len(waits)*95/100]
 }
 
-// A workspace at ten times its share must not move another one's 95th percentile of waiting by more than a tenth.
+// A workspace at ten times its share must not move another one's 95th percentile of waiting by more than a tenth, on
+// the median of several seeds, and must still get nearly all of the rest.
 func TestFairQueueIsolatesWorkspaces(t *testing.T) {
-	run := func(greedyRate float64) (p time.Duration) {
+	run := func(greedyRate float64, seed uint64) (p time.Duration, greedy int) {
 		synctest.Test(t, func(t *testing.T) {
 			a := NewAdmission(Options{Concurrency: 10, QueueLimit: 1000})
 			a.SetWorkspaces([]Workspace{{Name: "greedy"}, {Name: "modest"}})
 			var wg sync.WaitGroup
 			var waits []time.Duration
-			offer(a, &wg, "greedy", greedyRate, 120, 1, 0, 100*time.Millisecond, func(time.Duration, bool) {})
-			offer(a, &wg, "modest", 40, 120, 2, 0, 100*time.Millisecond, func(w time.Duration, _ bool) { waits = append(waits, w) })
+			offer(a, &wg, "greedy", greedyRate, 120, seed*10+1, 0, 100*time.Millisecond, func(time.Duration, bool) { greedy++ })
+			offer(a, &wg, "modest", 40, 120, seed*10+2, 0, 100*time.Millisecond, func(w time.Duration, _ bool) { waits = append(waits, w) })
 			wg.Wait()
 			p = p95(waits)
 		})
-		return p
+		return p, greedy
 	}
-	alone, crowded := run(50), run(500)
-	t.Logf("p95 wait: %v with the other workspace at its share, %v at ten times its share", alone, crowded)
-	assert.Assert(t, crowded <= alone*11/10)
+	var alone, crowded []time.Duration
+	for seed := range uint64(5) {
+		a, _ := run(50, seed)
+		c, greedy := run(500, seed)
+		t.Logf("p95 wait: %v with the other workspace at its share, %v at ten times its share (%d requests)", a, c, greedy)
+		alone, crowded = append(alone, a), append(crowded, c)
+		assert.Assert(t, greedy > 120*50)
+	}
+	slices.Sort(alone)
+	slices.Sort(crowded)
+	t.Logf("medians: %v and %v", alone[2], crowded[2])
+	assert.Assert(t, crowded[2] <= alone[2]*11/10)
 }
 
 // Overload must not lower the number of requests that are done before their deadline.
@@ -90,6 +100,31 @@
 	assert.Assert(t, twice*10 >= base*9 && five*10 >= base*9)
 }
 
+// A request that would wait past its deadline must be refused when it arrives, with a retry time.
+func TestEarlyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdmission(Options{Concurrency: 1})
+		serve := func() {
+			if g, err := a.Acquire(t.Context(), Request{Workspace: "w"}); err == nil {
+				time.Sleep(100 * time.Millisecond)
+				g.Done(0)
+			}
+		}
+		var wg sync.WaitGroup
+		for range 30 {
+			wg.Go(serve)
+		}
+		time.Sleep(time.Second)
+		began := time.Now()
+		_, err := a.Acquire(t.Context(), Request{Workspace: "w", Deadline: began.Add(time.Second)})
+		assert.Equal(t, code.From(err).Code, code.DeadlineUnreachable)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		retry := code.From(err).RetryAfter
+		assert.Assert(t, retry > 700*time.Millisecond && retry < 2*time.Second, "%v", retry)
+		wg.Wait()
+	})
+}
+
 // A caller that leaves, a late request and a full queue must be answered at once, with ran "no" and a retry time.
 func TestRefusalsAreImmediate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -31,6 +31,7 @@
 	virtual float64
 	cost    float64 // mean cost of the requests served
 	order   workspaceHeap
+	active  map[*workspace]bool // served lately
 	next    uint64
 
 	rate       float64 // requests that end per second
@@ -41,7 +42,8 @@
 // queuedWorkspace is the part of a workspace that the queue's lock guards.
 type queuedWorkspace struct {
 	weight  float64
-	start   float64 // virtual start time of the next request
+	start   float64   // virtual start time of the next request
+	served  time.Time // when the queue last gave it a slot
 	waiters waiterHeap
 	index   int // position in order, when waiters is not empty
 
@@ -67,6 +69,11 @@
 	// idleCredit is the number of requests a workspace may have served ahead of its share after it used less than that.
 	// Without it, the bursts of a workspace below its share would wait as if the share were a server of its own.
 	idleCredit = 16
+
+	// One slot in 16 is held back, on nodes with at least 8 slots, for workspaces served within the last second.
+	reservedPart = 16
+	minReserving = 8
+	activeFor    = time.Second
 )
 
 func cost(tokens uint32) float64 { return float64(max(1, tokens)) }
@@ -280,8 +287,11 @@
 	}
 	now := q.now()
 	q.measure(now)
-	for len(q.order) > 0 && q.takeSlot() {
+	for len(q.order) > 0 {
 		w := q.order[0]
+		if q.holdBack(w, now) || !q.takeSlot() {
+			return
+		}
 		item := w.queued.waiters[0]
 		q.remove(w, item)
 		if !item.deadline.IsZero() && now.Add(q.service(w)).After(item.deadline) {
@@ -292,6 +302,8 @@
 		q.virtual = max(q.virtual, w.queued.start)
 		q.cost = costKeep*q.cost + (1-costKeep)*item.cost
 		w.queued.start += item.cost / w.queued.weight
+		w.queued.served = now
+		q.active[w] = true
 		if len(w.queued.waiters) > 0 {
 			heap.Fix(&q.order, w.queued.index)
 		}
@@ -299,6 +311,25 @@
 	}
 }
 
+// holdBack tells whether the last free slots are kept for a workspace that was served lately and is behind its share.
+// Otherwise its next request would always wait for a slot to be released, since the queue of the other never empties.
+func (q *fairQueue) holdBack(w *workspace, now time.Time) bool {
+	slots := q.slots.Load()
+	if slots < minReserving || q.taken.Load() < slots-(slots+reservedPart-1)/reservedPart {
+		return false
+	}
+	for other := range q.active {
+		if now.Sub(other.queued.served) > activeFor {
+			delete(q.active, other)
+			continue
+		}
+		if other != w && len(other.queued.waiters) == 0 && other.queued.start < w.queued.start {
+			return true
+		}
+	}
+	return false
+}
+
 func (q *fairQueue) late(w *workspace) *code.Error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/strike/strike_test.go
+++ b/pkg/strike/strike_test.go
@@ -245,3 +245,16 @@
 	tr.Tick(now)
 	assert.Equal(t, len(tr.records)+len(tr.changed), 0)
 }
+
+// A request whose connection broke must be isolated, and held after the second time, before any crash is noticed; when
+// no crash follows, it must be free again.
+func TestInterruptedRunIsSuspect(t *testing.T) {
+	w := newNet(1)
+	for _, want := range []State{Isolate, Held} {
+		began(t, w, 0, "s-"+want.String(), "a").Ended(Interrupted, w.now)
+		assert.Equal(t, w.state(0, "a"), want)
+	}
+	w.run(defaultLinger)
+	assert.Equal(t, w.state(0, "a"), Clear)
+	assert.Equal(t, len(w.nodes[0].running)+len(w.nodes[0].interrupted), 0)
+}
