Check each promise in a session of whole nodes; write no second header to a caller who has left

Fault found by these sessions: when a caller left in the middle of a stream, the error of the write went to go-kit's error encoder, which wrote a refusal with a second header and logged it as an internal error. Ruled out: a fault of the tests' network, since the call stack names gateway.Refuse. Before: 'superfluous response.WriteHeader' for each caller that leaves. After: the response is counted as caller_gone and nothing more is written.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -35,7 +35,7 @@
 	w.Header().Set(HeaderRequestID, meta.ID)
 	var err error
 	if a.request.Stream {
-		err = g.writeStream(ctx, w, a)
+		err = g.cutOff(g.writeStream(ctx, w, a))
 	} else {
 		err = g.writeWhole(ctx, w, a)
 	}
@@ -78,7 +78,17 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, err = w.Write(body)
-	return err
+	return g.cutOff(err)
+}
+
+// cutOff counts an answer whose caller has gone after its header was sent. It hides the error from go-kit, which
+// would write a refusal with a second header into the answer.
+func (g *gateway) cutOff(err error) error {
+	if err != nil {
+		g.Log.WithError(err).Debug("the caller left before the end of the answer")
+		g.Metrics.Refusal(code.CallerGone)
+	}
+	return nil
 }
 
 // endError returns the error that a response ended with. Generation started, so the request ran.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -65,10 +65,10 @@
 	return openai.Models(names)
 }
 
-func encodeBody(_ context.Context, w http.ResponseWriter, response any) error {
+func (g *gateway) encodeBody(_ context.Context, w http.ResponseWriter, response any) error {
 	w.Header().Set("Content-Type", "application/json")
 	_, err := w.Write(response.([]byte))
-	return err
+	return g.cutOff(err)
 }
 
 func (g *gateway) call(ctx context.Context, request any) (any, error) {
@@ -82,7 +82,7 @@
 	return response, nil
 }
 
-func encodeCall(_ context.Context, w http.ResponseWriter, response any) error {
+func (g *gateway) encodeCall(_ context.Context, w http.ResponseWriter, response any) error {
 	out := response.(backend.CallResponse)
 	header := w.Header()
 	for _, name := range []string{"Content-Type", "Content-Language", "Cache-Control", "Etag", "Location"} {
@@ -93,7 +93,7 @@
 	header.Set("Content-Length", strconv.Itoa(len(out.Body)))
 	w.WriteHeader(out.Status)
 	_, err := w.Write(out.Body)
-	return err
+	return g.cutOff(err)
 }
 
 type entriesAnswer struct {
--- a/internal/node/caller_test.go
+++ b/internal/node/caller_test.go
@@ -146,6 +146,9 @@
 }
 
 func (s *stream) connect(r request) *answer {
+	if s.body != nil {
+		_ = s.body.Close()
+	}
 	res, err := s.caller.send(context.Background(), s.node, r)
 	if err != nil {
 		return &answer{err: err}
--- /dev/null
+++ b/internal/node/config_session_test.go
@@ -0,0 +1,152 @@
+package node_test
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollenlug/pollenlug/internal/standin/table"
+)
+
+func sortedKeys(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
+
+// nodeStatus is the part of /v1/status that the tests read.
+type nodeStatus struct {
+	Config struct {
+		Version        uint64
+		FolderRevision uint64
+	}
+	FolderFaults *struct {
+		Revision uint64
+		Faults   []struct{ File, Field, Reason string }
+	} `json:"folder_faults"`
+}
+
+// status reads the status of a node without its network, as the values of that instant.
+func (n *testNode) status() nodeStatus {
+	var out nodeStatus
+	body, err := json.Marshal(n.Status())
+	if err != nil || json.Unmarshal(body, &out) != nil {
+		panic("test: the status of a node is not JSON")
+	}
+	return out
+}
+
+// awaitRevision waits until the nodes have a folder revision, or a later one, in force and returns how long it took.
+func (c *cluster) awaitRevision(revision uint64, limit time.Duration, nodes ...*testNode) (time.Duration, bool) {
+	begin := time.Now()
+	for time.Since(begin) <= limit {
+		behind := slices.ContainsFunc(nodes, func(n *testNode) bool { return n.status().Config.FolderRevision < revision })
+		if !behind {
+			return time.Since(begin), true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return limit, false
+}
+
+// watchVersions checks that no node's version decreases until stop, which returns the nodes where it did.
+func (c *cluster) watchVersions() (stop func() []string) {
+	quit, done := make(chan struct{}), make(chan []string)
+	go func() {
+		highest, decreased := map[*testNode]uint64{}, map[string]bool{}
+		for {
+			for _, n := range slices.Clone(c.nodes) {
+				version := n.status().Config.Version
+				if version < highest[n] {
+					decreased[n.settings.Node] = true
+				}
+				highest[n] = max(highest[n], version)
+			}
+			select {
+			case <-quit:
+				done <- sortedKeys(decreased)
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	return func() []string {
+		close(quit)
+		return <-done
+	}
+}
+
+// workspaceFile returns a file with one workspace, whose token differs from those of other names.
+func workspaceFile(name string) []byte {
+	return fmt.Appendf(nil, `{"workspaces":[{"name":%q,"token_sha256":["%x"]}]}`, name, sha256.Sum256([]byte(name)))
+}
+
+// Guards against a configuration that is slow to be in force, that reverts, or that takes over a folder which does
+// not validate: 8 nodes, a store outage, a restart and two operators.
+func TestSessionOfConfiguration(t *testing.T) {
+	inCluster(t, clusterOptions{Nodes: 8}, func(t *testing.T, c *cluster) {
+		s := &transcript{t: t}
+		decreased := c.watchVersions()
+		s.step("ten edits, each read by the nodes before the next")
+		slow := 0
+		for i := range 10 {
+			time.Sleep(777 * time.Millisecond)
+			revision := c.folder.EditFile("90-new.json", workspaceFile(fmt.Sprintf("new-%d", i)))
+			if _, ok := c.awaitRevision(revision, 2*time.Second, c.nodes...); !ok {
+				slow++
+			}
+		}
+		s.saw("edits that were not in force on all 8 nodes within 2 s: %d", slow)
+
+		s.step("two operators edit at the same time, one of them through a stale reader")
+		first := c.folder.EditFile("91-operator.json", workspaceFile("operator-a"))
+		second := c.folder.EditFile("91-operator.json", workspaceFile("operator-bb"))
+		_, ok := c.awaitRevision(second, 2*time.Second, c.nodes...)
+		s.saw("the later edit is in force everywhere within 2 s: %v", ok && second > first)
+
+		s.step("an edit that does not validate")
+		before := c.nodes[0].status().Config.Version
+		c.folder.EditFile("92-bad.json", []byte(`{"workspaces":[{"name":"shop","share":"many"}]}`))
+		time.Sleep(5 * time.Second)
+		same, told := true, true
+		for _, n := range c.nodes {
+			status := n.status()
+			same = same && status.Config.Version == before
+			told = told && status.FolderFaults != nil && status.FolderFaults.Faults[0].File == "92-bad.json"
+		}
+		s.saw("the version stays on all nodes: %v, all nodes tell the file: %v", same, told)
+		repaired := c.folder.EditFile("92-bad.json", nil)
+		_, ok = c.awaitRevision(repaired, 2*time.Second, c.nodes...)
+		s.saw("the repaired folder is in force everywhere within 2 s: %v", ok)
+
+		s.step("an edit is accepted, and the store goes down when the first node has it in force")
+		revision := c.folder.EditFile("93-outage.json", workspaceFile("outage"))
+		for i := 0; !slices.ContainsFunc(c.nodes, func(n *testNode) bool { return n.status().Config.FolderRevision >= revision }); i++ {
+			assert.Assert(t, i < 3000)
+			time.Sleep(time.Millisecond)
+		}
+		c.platform.StoreOutage(table.Hanging)
+		_, ok = c.awaitRevision(revision, 17*time.Second, c.nodes...)
+		s.saw("in force everywhere within 17 s: %v", ok)
+
+		s.step("entry-3 restarts during the outage")
+		inForce := c.nodes[0].status().Config.Version
+		c.nodes[2].kill()
+		<-c.nodes[2].done
+		assert.NilError(t, c.addNode(2))
+		_, ok = c.awaitRevision(revision, 17*time.Second, c.nodes[2])
+		s.saw("it has the version of the others within 17 s: %v", ok && c.nodes[2].status().Config.Version == inForce)
+
+		s.step("an edit during the outage, then the store recovers")
+		during := c.folder.EditFile("94-during.json", workspaceFile("during"))
+		time.Sleep(5 * time.Second)
+		s.saw("not in force before it is accepted: %v", c.nodes[0].status().Config.FolderRevision < during)
+		c.platform.HealStore()
+		_, ok = c.awaitRevision(during, 10*time.Second, c.nodes...)
+		s.saw("in force everywhere within 10 s: %v", ok)
+		s.saw("nodes whose version has decreased: %v", decreased())
+		s.assert("configuration")
+	})
+}
