Keep a copy of each accepted response on a node that stays when its holders leave or die one after the other

Causes: the home kept its replica on a leaving node until two progress messages had failed; a search for a copy did not ask leaving nodes, nor did a leaving node ask itself; a leaving node handed over once and not what it took over later; handovers waited one after the other for a node that had just died; a new home chose the node that handed over as replica; an exiting node took the last copy of a response along when its home had died unnoticed. Ruled out: the callers of the tests, which ask every node every 400 ms for 30 s, and the backend servers, of which two thirds were up.

Before: 404 on every live node. After: the home moves replicas as soon as it hears of the leave, leaving nodes are asked, hand over until they exit, and pass their copies on.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pollenlug/pollenlug/pkg/stream"
@@ -16,6 +17,8 @@
 	// leaveSpread is how long a leaving node goes on to answer after it has announced that it leaves, so that callers who
 	// have just read its address are sent on and not refused.
 	leaveSpread = 2 * time.Second
+	// copyTimeout bounds the last messages of a leaving node; it is less than exitMargin.
+	copyTimeout = 500 * time.Millisecond
 	drainPoll   = 20 * time.Millisecond
 )
 
@@ -34,34 +37,46 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-exitMargin))
 		defer cancel()
-		n.handOver(ctx, deadline)
 	}
-	n.await(ctx, func() bool { return n.runner.Running() == 0 && n.openRequests.Load() == 0 })
+	n.finishWork(ctx, deadline)
 	if err := n.claims.Drain(ctx); err != nil {
 		n.log.WithError(err).Warn("non-repeatable calls are not all recorded; resends get ran:unknown")
 	}
 	sleep(ctx, leaveSpread)
+	n.finishWork(ctx, deadline)
+	last, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	n.replicator.PassOnCopies(last)
 	n.log.WithField("open_requests", n.openRequests.Load()).Info("node has drained")
 }
 
-// handOver gives the responses that run past the deadline to other nodes.
+// finishWork returns when no request is open and no response runs, or ctx ends. With a deadline it hands over what
+// will not finish in time, again and again: a caller whose home node has died may make this node take over a response
+// that it has the copy of.
+func (n *Node) finishWork(ctx context.Context, deadline time.Time) {
+	for (n.runner.Running() > 0 || n.openRequests.Load() > 0) && ctx.Err() == nil {
+		if !deadline.IsZero() {
+			n.handOver(ctx, deadline)
+		}
+		sleep(ctx, drainPoll)
+	}
+}
+
+// handOver gives the responses that run past the deadline to other nodes. They do not wait for each other: a node that
+// has died without being known dead delays each by its timeout, and together they would use up the notice.
 func (n *Node) handOver(ctx context.Context, deadline time.Time) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	n.logs.Each(func(log *stream.Log) {
 		id := log.Meta().ID
 		if ctx.Err() != nil || !n.runner.OutlastsDeadline(id, deadline) {
 			return
 		}
-		n.replicator.Handover(ctx, log, func() { n.runner.Stop(id) })
+		wg.Go(func() { n.replicator.Handover(ctx, log, func() { n.runner.Stop(id) }) })
 		sleep(ctx, handoverInterval)
 	})
 }
 
-func (n *Node) await(ctx context.Context, done func() bool) {
-	for !done() && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -235,6 +235,7 @@
 	n.replicator = replica.New(replica.Options{
 		Self:      n.cluster.self,
 		Live:      n.cluster.live,
+		Members:   n.cluster.members,
 		Member:    n.cluster.member,
 		Transport: n.transport,
 		Logs:      n.logs,
--- a/internal/replica/attach.go
+++ b/internal/replica/attach.go
@@ -143,8 +143,7 @@
 			return r.followHome(ctx, home, state, workspace, id, offset)
 		}
 	}
-	candidates := r.candidates(id, membership.Member{Node: HomeOf(id), FailureDomain: home.FailureDomain}, findTries)
-	for _, peer := range candidates {
+	for _, peer := range r.holders(id, membership.Member{Node: HomeOf(id), FailureDomain: home.FailureDomain}) {
 		if peer.Node == r.Self.Node {
 			if state := r.takeOverHere(workspace, id, offset); state != nil {
 				return r.Self, state, nil
@@ -157,9 +156,28 @@
 		}
 		return r.followHome(ctx, peer, state, workspace, id, offset)
 	}
+	if HomeOf(id) == r.Self.Node {
+		// This node has handed the response over, and its new home is lost without a replica.
+		if state := r.takeOverHere(workspace, id, offset); state != nil {
+			return r.Self, state, nil
+		}
+	}
 	return membership.Member{}, nil, errNotFound
 }
 
+// holders returns the nodes that may hold a copy of a response: those that may get a replica now, then those that
+// leave or are suspected, which may have got one before.
+func (r *Replicator) holders(id string, home membership.Member) []membership.Member {
+	out := r.candidates(id, home, findTries)
+	var others []membership.Member
+	for _, member := range r.Members() {
+		if reachable(member) && member.Status != pb.MemberState_ALIVE && member.Node != home.Node {
+			others = append(others, member)
+		}
+	}
+	return append(out, membership.Rendezvous(id, others, findTries)...)
+}
+
 // reachable tells whether a node may still answer for its responses; a leaving one does.
 func reachable(m membership.Member) bool {
 	return m.Status == pb.MemberState_ALIVE || m.Status == pb.MemberState_LEAVING || m.Status == pb.MemberState_SUSPECT
@@ -209,7 +227,7 @@
 // becomes that of a replica; its readers follow the new home.
 func (r *Replicator) Handover(ctx context.Context, log *stream.Log, stop func()) bool {
 	meta := log.Meta()
-	for _, peer := range r.candidates(meta.ID, r.Self, openTries) {
+	for _, peer := range r.answering(meta.ID, "") {
 		// The new home begins its attempt after this progress; tokens that arrive here meanwhile are generated again
 		// there and dropped by their offset.
 		message := &pb.StreamHandover{Open: log.Open(), Progress: log.Progress(0)}
@@ -217,6 +235,7 @@
 		ctx, cancel := context.WithTimeout(ctx, openTries*openTimeout+openTimeout)
 		err := r.acknowledged(r.Transport.Request(ctx, peer.NodeAddr, &pb.Envelope{Body: &pb.Envelope_StreamHandover{StreamHandover: message}}))
 		cancel()
+		r.setSilent(peer.Node, err != nil)
 		if err != nil {
 			r.Metrics.Retry("handover")
 			continue
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -118,6 +118,7 @@
 	n.Replicator = New(Options{
 		Self:      n.member,
 		Live:      w.live,
+		Members:   w.members,
 		Member:    w.memberOf,
 		Transport: &testTransport{world: w, from: n},
 		Logs:      stream.NewStore(),
@@ -159,6 +160,16 @@
 	return out
 }
 
+func (w *world) members() []membership.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []membership.Member
+	for _, n := range w.nodes {
+		out = append(out, n.member)
+	}
+	return out
+}
+
 func (w *world) live() []membership.Member {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,6 +62,8 @@
 	Self membership.Member
 	// Live returns the live nodes, this one included.
 	Live func() []membership.Member
+	// Members returns all known nodes, this one and dead ones included.
+	Members func() []membership.Member
 	// Member returns what is known of a node.
 	Member    func(node string) (membership.Member, bool)
 	Transport Requester
@@ -125,8 +127,13 @@
 // since refusing it would help nobody; a counter shows it. When some did not answer and others were not asked, the
 // request is refused.
 func (r *Replicator) Open(ctx context.Context, log *stream.Log) error {
+	return r.openExcept(ctx, log, "")
+}
+
+// openExcept is Open without one node; "" leaves none out.
+func (r *Replicator) openExcept(ctx context.Context, log *stream.Log, except string) error {
 	id := log.Meta().ID
-	candidates := r.answering(id)
+	candidates := r.answering(id, except)
 	for _, peer := range candidates {
 		if err := r.openAt(ctx, peer, log); err != nil {
 			r.Metrics.Retry("replica_open")
@@ -146,14 +153,14 @@
 
 // answering returns the first candidates, without the nodes that did not answer lately: the view of the members may
 // not show yet that they are gone, and each would delay the caller by openTimeout.
-func (r *Replicator) answering(id string) []membership.Member {
+func (r *Replicator) answering(id, except string) []membership.Member {
 	now := time.Now()
 	r.mu.Lock()
 	silent := maps.Clone(r.silent)
 	r.mu.Unlock()
-	candidates := r.candidates(id, r.Self, openTries+len(silent))
+	candidates := r.candidates(id, r.Self, openTries+1+len(silent))
 	candidates = slices.DeleteFunc(candidates, func(m membership.Member) bool {
-		return now.Sub(silent[m.Node]) < silentMemory
+		return m.Node == except || now.Sub(silent[m.Node]) < silentMemory
 	})
 	return candidates[:min(openTries, len(candidates))]
 }
@@ -221,10 +228,15 @@
 func (r *Replicator) Run(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
 	defer ticker.Stop()
+	looked := time.Time{}
 	for {
 		select {
-		case <-ticker.C:
+		case now := <-ticker.C:
 			r.flush(ctx)
+			if now.Sub(looked) >= leaveInterval {
+				looked = now
+				r.moveReplicas(ctx)
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -23,7 +23,7 @@
 	case *pb.Envelope_StreamFetch:
 		return r.fetch(ctx, body.StreamFetch)
 	case *pb.Envelope_StreamHandover:
-		return r.takeHandover(body.StreamHandover)
+		return r.takeHandover(from, body.StreamHandover)
 	default:
 		return nil
 	}
@@ -113,26 +113,27 @@
 func (r *Replicator) takeOver(log *stream.Log) {
 	log.SetHome(r.Self.Node)
 	r.Metrics.Add("responses_taken_over", 1)
-	r.adopt(log)
+	r.adopt(log, "")
 }
 
-// adopt finds a replica for a response that has become this node's and continues it.
-func (r *Replicator) adopt(log *stream.Log) {
+// adopt finds a replica for a response that has become this node's and continues it. The replica is not on the node
+// that handed the response over, since that one leaves and this node may not have heard of it yet.
+func (r *Replicator) adopt(log *stream.Log, leaving string) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTries*openTimeout)
 	defer cancel()
-	if err := r.Open(ctx, log); err != nil {
+	if err := r.openExcept(ctx, log, leaving); err != nil {
 		r.Log.WithError(err).Warn("response continues without a replica")
 	}
 	r.resume(log)
 }
 
 // takeHandover continues a response of a node that leaves.
-func (r *Replicator) takeHandover(message *pb.StreamHandover) *pb.Envelope {
+func (r *Replicator) takeHandover(from string, message *pb.StreamHandover) *pb.Envelope {
 	log := r.Logs.Add(stream.NewLog(stream.MetaFrom(message.Open), time.Now()))
 	if err := log.Apply(message.Progress, time.Now()); err != nil && err != stream.ErrFinished && err != stream.ErrStaleAttempt {
 		return ack(code.InvalidEventID, err.Error())
 	}
 	log.SetHome(r.Self.Node)
-	r.adopt(log)
+	r.adopt(log, from)
 	return ack(code.OK, "")
 }
