--- a/internal/node/caller_test.go
+++ b/internal/node/caller_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,6 +39,7 @@
 type request struct {
 	method, path, key, body string
 	lastEvent               string
+	timeout                 time.Duration // what the caller states; 0 for nothing
 }
 
 // answer is what the caller saw.
@@ -74,6 +76,9 @@
 	if r.key != "" {
 		req.Header.Set("Idempotency-Key", r.key)
 	}
+	if r.timeout > 0 {
+		req.Header.Set("X-Pollenlug-Timeout-Ms", strconv.FormatInt(r.timeout.Milliseconds(), 10))
+	}
 	if r.lastEvent != "" {
 		req.Header.Set("Last-Event-ID", r.lastEvent)
 	}
@@ -98,8 +103,10 @@
 	return out
 }
 
-func (c *caller) book(node int, key, body string) answer {
-	return c.do(node, request{method: "POST", path: "/s/booking/bookings", key: key, body: body})
+func (c *caller) book(node int, key, body string) answer { return c.bookWithin(node, key, body, 0) }
+
+func (c *caller) bookWithin(node int, key, body string, timeout time.Duration) answer {
+	return c.do(node, request{method: "POST", path: "/s/booking/bookings", key: key, body: body, timeout: timeout})
 }
 
 func (c *caller) look(node int) answer {
--- a/internal/node/random_load_test.go
+++ b/internal/node/random_load_test.go
@@ -12,6 +12,11 @@
 	// abandonEvery booking is not sent again after ran:"no", so that a later run of it would show.
 	abandonEvery = 2
 	resends      = 4
+	// shortEvery booking has a caller who waits for less than the service needs, so that the answer is given while the
+	// call may run. The timeouts go up in shortSteps of shortStep, over the time of the claim and of the run.
+	shortEvery = 3
+	shortSteps = 8
+	shortStep  = 50 * time.Millisecond
 )
 
 // mixedLoad are the callers of a run: streams, bookings and lookups on every node.
@@ -116,10 +121,14 @@
 		l.mu.Lock()
 		l.bookings = append(l.bookings, b)
 		l.mu.Unlock()
+		timeout := time.Duration(0)
+		if i%shortEvery == 0 {
+			timeout = time.Duration(1+i/shortEvery%shortSteps) * shortStep
+		}
 		for try := range resends {
 			target := (node + try) % len(l.cluster.nodes)
 			begin := time.Now()
-			a := caller.book(target, b.key, "deposit")
+			a := caller.bookWithin(target, b.key, "deposit", timeout)
 			if l.note(b, a, target, begin) || (b.onlyNo && i%abandonEvery == 0) {
 				break
 			}
