--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,6 +78,7 @@
 	folder   *standin.MemFolder
 	network  *netfault.PipeNetwork
 	mesh     *mesh
+	nodesMu  sync.Mutex // guards a restart against watchVersions
 	nodes    []*testNode
 	engines  map[string]*engine.Engine
 	services map[string]*service.Service
@@ -236,6 +238,8 @@
 		NodeAddr:      settings.NodeAddr,
 		Reclaimable:   true,
 	}, n.kill)
+	c.nodesMu.Lock()
+	defer c.nodesMu.Unlock()
 	if i < len(c.nodes) {
 		c.nodes[i] = n // a restart
 	} else {
