End the runs of a killed node on backend servers, as the end of its process does

A node that Kill had stopped went on to retry its responses until their deadline, up to ten minutes, and held places on engines that its callers' resumed responses needed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -472,12 +472,14 @@
 	n.outliers.SetServers(groups)
 }
 
-// Kill stops the node at once, as when its machine is switched off.
+// Kill stops the node at once, as when its machine is switched off: nothing is handed over, and its runs on backend
+// servers end.
 func (n *Node) Kill() {
 	n.killOnce.Do(func() {
 		close(n.killed)
 		_ = n.server.Close()
 		_ = n.transport.Close()
+		n.logs.Each(func(log *stream.Log) { n.runner.Stop(log.Meta().ID) })
 	})
 }
 
