Continue a handed-over response on the same server with its KV cache

Before: the new home chose any server and computed prompt and generated tokens again. Now the log carries the server, the leaving node has the server keep the KV cache, and the router takes a preferred server. In the test, 1 KV import and at most a tenth of the answer recomputed; the test fails without the import.

--- a/internal/devcluster/failure_test.go
+++ b/internal/devcluster/failure_test.go
@@ -220,3 +220,29 @@
 	assert.Equal(t, again, answer)
 	assert.DeepEqual(t, c.Standins.Stats().Runs["booking"], map[string]int{"shop/lost": 1})
 }
+
+// Guards against a handover that loses the KV cache: the new home continues on the same server, and almost nothing is
+// computed again.
+func TestHandoverRecomputesNothing(t *testing.T) {
+	c := startCluster(t)
+	var r reading
+	next, closeBody := c.startLong(t, 1, &r)
+	defer closeBody()
+	next(60)
+	c.Standins.Platform.Cloud.Reclaim(2*time.Second, "entry-2")
+	next(0)
+	if !r.done {
+		next, closeBody = c.resume(t, 0, &r)
+		defer closeBody()
+		next(0)
+	}
+	assert.Equal(t, r.text.String(), longAnswer())
+	var recomputed, imports uint64
+	for _, e := range c.Standins.allEngines() {
+		recomputed += e.Stats().RecomputedTokens
+		imports += e.Stats().KVImports
+	}
+	assert.Equal(t, imports, uint64(1))
+	// What was generated between the export and the switch is generated again.
+	assert.Assert(t, recomputed <= longTokens/10, "%d tokens were computed again", recomputed)
+}
--- a/internal/generate/attempt.go
+++ b/internal/generate/attempt.go
@@ -139,6 +139,7 @@
 	defer stop(nil)
 	kv := run.start(pick.Server, stop)
 	number := run.log.Begin()
+	run.log.SetServer(pick.Server.ID)
 	sent := time.Now()
 	result := route.Result{Outcome: route.Failed}
 	err = r.Engine.Generate(attemptCtx, pick.Server.Addr, r.request(run, number, tokens, kv), func(chunk backend.Chunk) error {
@@ -207,7 +208,9 @@
 		OutputTokens: run.req.MaxTokens,
 		Exclude:      run.failed,
 		Isolate:      isolate,
+		Prefer:       run.prefer,
 	}
+	run.prefer = ""
 	pick, err := r.Router.Pick(&req)
 	if err != nil && len(run.failed) > 0 {
 		run.failed, req.Exclude = nil, nil
@@ -275,6 +278,9 @@
 	run.moving = false
 	run.firstToken = time.Time{}
 	kv, run.kv = run.kv, ""
+	if run.kvAt != "" && run.kvAt != server.ID {
+		kv = "" // the cache waits on another server
+	}
 	return kv
 }
 
--- a/internal/generate/move.go
+++ b/internal/generate/move.go
@@ -81,7 +81,7 @@
 	}
 	handle := r.copyKV(ctx, run, addr, target.Server.Addr)
 	run.mu.Lock()
-	run.target, run.kv = target, handle
+	run.target, run.kv, run.kvAt = target, handle, target.Server.ID
 	run.mu.Unlock()
 	if handle != "" {
 		r.Metrics.Count("moves", "way", "kv_cache", 1)
@@ -124,6 +124,22 @@
 	return id
 }
 
+// KeepKV makes the KV cache of a running response survive the end of its attempt on the same server, for the next home
+// node. It returns the handle, or "" when the server cannot.
+func (r *Runner) KeepKV(ctx context.Context, id string) string {
+	run := r.get(id)
+	if run == nil {
+		return ""
+	}
+	run.mu.Lock()
+	addr := run.addr
+	run.mu.Unlock()
+	if addr == "" {
+		return ""
+	}
+	return r.copyKV(ctx, run, addr, addr)
+}
+
 // OutlastsDeadline reports whether a response runs here and is not expected to finish before the deadline.
 func (r *Runner) OutlastsDeadline(id string, deadline time.Time) bool {
 	run := r.get(id)
--- a/internal/generate/runner.go
+++ b/internal/generate/runner.go
@@ -143,6 +143,8 @@
 	blocks []uint64
 	cancel context.CancelCauseFunc
 
+	// prefer is the server of an earlier home's attempt, for the first attempt here.
+	prefer string
 	// mu guards the fields below.
 	mu         sync.Mutex
 	server     string
@@ -151,6 +153,7 @@
 	moving     bool
 	target     *route.Pick // where the next attempt goes after a move
 	kv         string      // handle of the KV cache that was imported there
+	kvAt       string      // server that has it
 	firstToken time.Time
 	began      time.Time
 	failed     []string // servers that failed lately, excluded from the next attempt
@@ -183,7 +186,10 @@
 
 // Run starts the response of a log in the background; done is called when this node no longer runs it. A response
 // that runs already is left alone. An error means that the log's request cannot be run.
-func (r *Runner) Run(log *stream.Log, done func()) error {
+func (r *Runner) Run(log *stream.Log, done func()) error { return r.RunWith(log, "", done) }
+
+// RunWith is Run for a response whose KV cache waits under a handle on the log's server.
+func (r *Runner) RunWith(log *stream.Log, kv string, done func()) error {
 	meta := log.Meta()
 	req, err := openai.ParseRequest(meta.Path, meta.Request)
 	if err != nil {
@@ -201,6 +207,9 @@
 		digest: Digest(meta.Path, meta.Request),
 		blocks: backend.PrefixBlocks(nil, model.Name, model.Adapter, req.Prompt),
 		cancel: cancel,
+		prefer: log.Server(),
+		kv:     kv,
+		kvAt:   log.Server(),
 	}
 	if !r.register(meta.ID, run) {
 		cancel(nil)
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -51,7 +51,8 @@
 		if ctx.Err() != nil || !n.runner.OutlastsDeadline(id, deadline) {
 			return
 		}
-		n.replicator.Handover(ctx, log, func() { n.runner.Stop(id) })
+		keepKV := func(ctx context.Context) string { return n.runner.KeepKV(ctx, id) }
+		n.replicator.Handover(ctx, log, keepKV, func() { n.runner.Stop(id) })
 		sleep(ctx, handoverInterval)
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,7 +208,7 @@
 		Member:    n.cluster.member,
 		Transport: n.transport,
 		Logs:      n.logs,
-		Run:       func(log *stream.Log) error { return n.runner.Run(log, func() {}) },
+		Run:       func(log *stream.Log, kv string) error { return n.runner.RunWith(log, kv, func() {}) },
 		Metrics:   n.metrics,
 		Log:       n.log,
 	})
--- a/internal/replica/attach.go
+++ b/internal/replica/attach.go
@@ -207,12 +207,15 @@
 
 // Handover makes another node the home of a response that runs here, and reports whether one took it. The local log
 // becomes that of a replica; its readers follow the new home.
-func (r *Replicator) Handover(ctx context.Context, log *stream.Log, stop func()) bool {
+//
+// keepKV is called before the progress is sent, so that the new home can continue without a recompute.
+func (r *Replicator) Handover(ctx context.Context, log *stream.Log, keepKV func(context.Context) string, stop func()) bool {
 	meta := log.Meta()
+	kv := keepKV(ctx)
 	for _, peer := range r.candidates(meta.ID, r.Self, openTries) {
 		// The new home begins its attempt after this progress; tokens that arrive here meanwhile are generated again
 		// there and dropped by their offset.
-		message := &pb.StreamHandover{Open: log.Open(), Progress: log.Progress(0)}
+		message := &pb.StreamHandover{Open: log.Open(), Progress: log.Progress(0), Kv: kv}
 		message.Open.Home = peer.Node
 		ctx, cancel := context.WithTimeout(ctx, openTries*openTimeout+openTimeout)
 		err := r.acknowledged(r.Transport.Request(ctx, peer.NodeAddr, &pb.Envelope{Body: &pb.Envelope_StreamHandover{StreamHandover: message}}))
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -121,7 +121,7 @@
 		Member:    w.memberOf,
 		Transport: &testTransport{world: w, from: n},
 		Logs:      stream.NewStore(),
-		Run:       func(log *stream.Log) error { return n.runner.Run(log, func() {}) },
+		Run:       func(log *stream.Log, kv string) error { return n.runner.RunWith(log, kv, func() {}) },
 		Metrics:   set,
 		Log:       logrus.NewEntry(logger),
 	})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -67,7 +67,8 @@
 	Transport Requester
 	Logs      *stream.Store
 	// Run starts the attempts of a log whose home has become this node.
-	Run     func(log *stream.Log) error
+	// The KV cache of its last attempt may wait under a handle on the log's server.
+	Run     func(log *stream.Log, kv string) error
 	Metrics *metrics.Set
 	Log     *logrus.Entry
 }
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -88,7 +88,12 @@
 	if log.End().Finished {
 		return
 	}
-	if err := r.Options.Run(log); err != nil {
+	r.run(log, "")
+}
+
+// run starts the attempts of a response; kv is the handle of a KV cache that waits on the log's server.
+func (r *Replicator) run(log *stream.Log, kv string) {
+	if err := r.Options.Run(log, kv); err != nil {
 		_ = log.Finish(log.Attempt(), "", code.From(err).Code, time.Now())
 	}
 }
@@ -113,17 +118,19 @@
 func (r *Replicator) takeOver(log *stream.Log) {
 	log.SetHome(r.Self.Node)
 	r.Metrics.Add("responses_taken_over", 1)
-	r.adopt(log)
+	r.adopt(log, "")
 }
 
 // adopt finds a replica for a response that has become this node's and continues it.
-func (r *Replicator) adopt(log *stream.Log) {
+func (r *Replicator) adopt(log *stream.Log, kv string) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTries*openTimeout)
 	defer cancel()
 	if err := r.Open(ctx, log); err != nil {
 		r.Log.WithError(err).Warn("response continues without a replica")
 	}
-	r.resume(log)
+	if !log.End().Finished {
+		r.run(log, kv)
+	}
 }
 
 // takeHandover continues a response of a node that leaves.
@@ -133,6 +140,6 @@
 		return ack(code.InvalidEventID, err.Error())
 	}
 	log.SetHome(r.Self.Node)
-	r.adopt(log)
+	r.adopt(log, message.Kv)
 	return ack(code.OK, "")
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -120,6 +120,8 @@
 	Blocks []uint64
 	// PromptTokens and OutputTokens are estimates; 0 output tokens means unknown.
 	PromptTokens, OutputTokens uint32
+	// Prefer names the server that holds the request's KV cache; it is chosen when it can take the request.
+	Prefer string
 	// Exclude lists servers that were tried already.
 	Exclude []string
 	// Isolate asks for a server that runs nothing else meanwhile, for a request with a strike.
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -76,6 +76,9 @@
 	}
 	c.findPrefix()
 	c.findHomes()
+	if preferred := c.preferred(); preferred >= 0 {
+		return preferred
+	}
 	for c.strictness = healthyResident; c.strictness < stages; c.strictness++ {
 		if best := c.chooseStage(); best >= 0 {
 			return best
@@ -84,6 +87,20 @@
 	return -1
 }
 
+// preferred returns the server that the request prefers, if it is healthy and has the model.
+func (c *chooser) preferred() int32 {
+	if c.req.Prefer == "" || c.req.Isolate {
+		return -1
+	}
+	c.strictness = healthyResident
+	for _, i := range c.members {
+		if c.snap.servers[i].ID == c.req.Prefer && c.eligible(i) {
+			return i
+		}
+	}
+	return -1
+}
+
 func (c *chooser) chooseStage() int32 {
 	if c.req.Isolate {
 		return c.scan(c.lossScore)
--- a/pkg/stream/log.go
+++ b/pkg/stream/log.go
@@ -58,6 +58,8 @@
 	mu      sync.Mutex
 	meta    Meta
 	attempt uint32
+	// server runs the newest attempt.
+	server string
 	// text holds all tokens; ends[i] is the end of token i in text.
 	text      []byte
 	ends      []uint32
@@ -94,6 +96,20 @@
 	return l.attempt
 }
 
+// SetServer records the backend server of the newest attempt.
+func (l *Log) SetServer(server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.server = server
+}
+
+// Server returns the backend server of the newest attempt, or "".
+func (l *Log) Server() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.server
+}
+
 // Attempt returns the number of the newest attempt.
 func (l *Log) Attempt() uint32 {
 	l.mu.Lock()
@@ -253,6 +269,7 @@
 		Finished:     l.end.Finished,
 		FinishReason: l.end.FinishReason,
 		Code:         uint32(l.end.Code),
+		Server:       l.server,
 	}
 }
 
@@ -261,6 +278,9 @@
 	if _, err := l.Append(p.Attempt, p.Offset, p.Tokens, now); err != nil {
 		return err
 	}
+	if p.Server != "" {
+		l.SetServer(p.Server)
+	}
 	if !p.Finished {
 		return nil
 	}
