Gateway: forward service paths as escaped, check the model's context, never write an error into a stream

A path with an encoded question mark reached the service as a query. go-kit calls the error encoder also when a stream breaks after its headers; that body would have followed the events.

--- a/internal/devcluster/session_test.go
+++ b/internal/devcluster/session_test.go
@@ -92,6 +92,7 @@
 		{title: "refused token", node: 0, method: "POST", path: "/v1/chat/completions", token: "wrong", body: chat},
 		{title: "models", node: 0, method: "GET", path: "/v1/models", token: shopToken},
 		{title: "unknown model", node: 1, method: "POST", path: "/v1/chat/completions", token: shopToken, body: strings.Replace(chat, "quote-small", "absent", 1)},
+		{title: "longer than the context", node: 1, method: "POST", path: "/v1/chat/completions", token: shopToken, body: strings.Replace(chat, `"max_tokens":6`, `"max_tokens":100000`, 1)},
 		{title: "oversized body", node: 1, method: "POST", path: "/v1/chat/completions", token: shopToken, body: strings.Repeat(" ", 2<<20)},
 		{title: "malformed JSON", node: 1, method: "POST", path: "/v1/chat/completions", token: shopToken, body: `{"model":`},
 		{title: "unknown service", node: 1, method: "GET", path: "/s/absent/x", token: shopToken},
@@ -101,6 +102,7 @@
 		{title: "same key with another body", node: 2, method: "POST", path: "/s/booking/bookings", token: shopToken, header: map[string]string{"Idempotency-Key": "k1"}, body: `{"board":2}`},
 		{title: "same key of another workspace", node: 2, method: "POST", path: "/s/booking/bookings", token: "council-token", header: map[string]string{"Idempotency-Key": "k1"}, body: `{"board":2}`},
 		{title: "lookup", node: 2, method: "GET", path: "/s/booking/history?board=1", token: shopToken},
+		{title: "escaped path", node: 2, method: "GET", path: "/s/booking/a%3Fb%2Fc?x=1", token: shopToken},
 		{title: "unknown path", node: 2, method: "GET", path: "/v2/none", token: shopToken},
 	} {
 		_, text, _ := c.do(t, s)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -35,7 +35,10 @@
 	w.Header().Set(HeaderRequestID, meta.ID)
 	var err error
 	if a.request.Stream {
-		err = g.writeStream(ctx, w, a)
+		if g.writeStream(ctx, w, a) != nil {
+			// The headers are sent; an error returned from here would be written into the stream.
+			g.Metrics.Refusal(code.CallerGone)
+		}
 	} else {
 		err = g.writeWhole(ctx, w, a)
 	}
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkContext(model, request); err != nil {
+		return nil, err
+	}
 	end, err := deadline(r, maxGeneration)
 	if err != nil {
 		return nil, err
@@ -100,6 +103,18 @@
 	return model, nil
 }
 
+// bytesPerToken is above the usual ratio, so that a prompt is called too long only when it surely is.
+const bytesPerToken = 5
+
+// checkContext refuses a request that cannot fit into the model's context.
+func checkContext(model config.Model, request openai.Request) error {
+	tokens := uint64(len(request.Prompt)/bytesPerToken) + uint64(request.MaxTokens)
+	if tokens > uint64(model.ContextTokens) {
+		return code.New(code.ContextTooLong, fmt.Sprintf("prompt and max_tokens need about %d tokens; the model's context has %d", tokens, model.ContextTokens))
+	}
+	return nil
+}
+
 func (g *gateway) decodeWorkspace(_ context.Context, r *http.Request) (any, error) {
 	workspace, _, err := g.authenticate(r)
 	return workspace, err
@@ -141,8 +156,7 @@
 	if !config.MayUseService(workspace, service.Name) {
 		return nil, code.New(code.NotPermitted, "the workspace may not use this service")
 	}
-	path := "/" + r.PathValue("path")
-	call := ServiceCall{Workspace: workspace, Service: service, Route: service.Route(r.Method, path)}
+	call := ServiceCall{Workspace: workspace, Service: service, Route: service.Route(r.Method, "/"+r.PathValue("path"))}
 	if call.Key, err = idempotencyKey(r, call.Route); err != nil {
 		return nil, err
 	}
@@ -153,11 +167,19 @@
 	if err != nil {
 		return nil, err
 	}
+	call.Request = backend.CallRequest{Method: r.Method, Path: servicePath(r), Header: forwarded(r.Header), Body: body}
+	return call, nil
+}
+
+// servicePath returns path and query as the service receives them, escaped as the caller sent them: a decoded "%3F"
+// would begin a query.
+func servicePath(r *http.Request) string {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/s/")
+	_, path, _ := strings.Cut(rest, "/")
 	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+		return "/" + path + "?" + r.URL.RawQuery
 	}
-	call.Request = backend.CallRequest{Method: r.Method, Path: path, Header: forwarded(r.Header), Body: body}
-	return call, nil
+	return "/" + path
 }
 
 // idempotencyKey returns the key, which only non-repeatable routes require.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,7 +167,8 @@
 			return
 		}
 		g.Metrics.Refusal(code.NodeLeaving)
-		w.Header().Set("Location", "http://"+entries[0].Addr+r.URL.RequestURI())
+		w.Header().Set("Connection", "close") // the next request should go to the other node at once
+		w.Header().Set("Location", scheme(r)+"://"+entries[0].Addr+r.URL.RequestURI())
 		w.Header().Set(HeaderCode, strconv.Itoa(int(code.NodeLeaving)))
 		w.WriteHeader(http.StatusTemporaryRedirect)
 	})
@@ -191,6 +192,13 @@
 	_, _ = w.Write([]byte(text))
 }
 
+func scheme(r *http.Request) string {
+	if r.TLS != nil {
+		return "https"
+	}
+	return "http"
+}
+
 func host(addr string) string {
 	name, _, err := net.SplitHostPort(addr)
 	if err != nil {
