Learn server limits at the first token with a slow start; profiles on a loopback address

Cause: the limit of a server began at 16 and was adjusted when an answer ended, so one engine with 500 long streams refused 484 of them.

--- a/internal/generate/attempt.go
+++ b/internal/generate/attempt.go
@@ -146,11 +146,12 @@
 		if result.FirstToken == 0 {
 			result.FirstToken = time.Since(sent)
 			pick.Started()
+			r.Limits.Observe(pick.Server.ID, result.FirstToken)
 		}
 		return r.accept(attemptCtx, run, number, chunk, &result)
 	})
 	if limited {
-		r.Limits.Release(pick.Server.ID, result.FirstToken)
+		r.Limits.Release(pick.Server.ID)
 	}
 	if cause := context.Cause(attemptCtx); errors.Is(cause, errMove) && err != nil {
 		err = errMove
--- a/internal/generate/runner.go
+++ b/internal/generate/runner.go
@@ -88,7 +88,8 @@
 // ServerLimits adapts the number of requests in flight on each server.
 type ServerLimits interface {
 	Acquire(server string) bool
-	Release(server string, latency time.Duration)
+	Observe(server string, firstToken time.Duration)
+	Release(server string)
 }
 
 // Progress is told about changes of a log, so that the replica receives them.
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -10,6 +10,7 @@
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/limit"
+	"github.com/pollenlug/pollenlug/pkg/membership"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 )
 
@@ -19,6 +20,8 @@
 	demandInterval = time.Second
 	// demandTTL outlives a few lost items; a node that is silent for longer counts as out of touch.
 	demandTTL = 10 * time.Second
+	// slotInterval is short against the time to the first token, in which the learned limits may double.
+	slotInterval = 50 * time.Millisecond
 	// minSlots lets a node start work before it knows any server.
 	minSlots = 16
 )
@@ -45,11 +48,13 @@
 	for ctx.Err() == nil {
 		sleep(ctx, demandInterval)
 		var names []string
-		for _, m := range n.cluster.live() {
-			names = append(names, m.Node)
+		for _, m := range n.cluster.members() {
+			if mayAdmit(m) {
+				names = append(names, m.Node)
+			}
 		}
 		n.admission.SetNodes(names)
-		n.admission.SetConcurrency(n.slots())
+		n.router.SetPeers(len(n.cluster.live()))
 		out := &pb.WorkspaceDemand{}
 		for _, d := range n.admission.ExportDemand() {
 			out.Demands = append(out.Demands, &pb.Demand{
@@ -66,6 +71,20 @@
 	}
 }
 
+// mayAdmit reports whether a node may still admit requests, and so needs its share of the limits: also one that is
+// suspected or out of touch.
+func mayAdmit(m membership.Member) bool {
+	return m.Status != pb.MemberState_DEAD && m.Status != pb.MemberState_LEFT
+}
+
+// adjustSlots follows the limits learned from the servers' latency until ctx ends.
+func (n *Node) adjustSlots(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.admission.SetConcurrency(n.slots())
+		sleep(ctx, slotInterval)
+	}
+}
+
 func (n *Node) takeDemand(item *pb.GossipItem) {
 	var message pb.WorkspaceDemand
 	if proto.Unmarshal(item.Value, &message) != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenlug/pollenlug/internal/dispatch"
@@ -154,6 +155,7 @@
 		Policy:        route.Policy(s.RoutingPolicy),
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
+		Seed:          xxhash.Sum64String(s.Node), // nodes must prefer different subsets of servers
 	})
 	n.guard = newGuard(n.cluster, n.metrics)
 	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: minSlots})
@@ -371,6 +373,8 @@
 		func(ctx context.Context) { n.loads.run(ctx, n.tracker.List) },
 		n.expire,
 		n.exchangeDemand,
+		n.adjustSlots,
+		n.serveProfiles,
 		n.guard.run,
 		n.purgeClaims,
 		n.shareFolderFaults,
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -109,7 +109,7 @@
 		Budget:   free{},
 		Strikes:  free{},
 		Limits:   free{},
-		Health:   free{},
+		Health:   health{},
 		Progress: progressOf{n},
 		Config:   func() *config.Index { return index },
 		Metrics:  set,
@@ -139,11 +139,15 @@
 // free grants everything.
 type free struct{}
 
-func (free) Observe(string, bool) {}
+// health accepts every report.
+type health struct{}
+
+func (health) Observe(string, bool) {}
 
 func (free) Wait(ctx context.Context) error             { return ctx.Err() }
 func (free) Acquire(string) bool                        { return false }
-func (free) Release(string, time.Duration)              {}
+func (free) Observe(string, time.Duration)              {}
+func (free) Release(string)                             {}
 func (free) State(string) (strike.State, time.Duration) { return strike.Clear, 0 }
 func (free) Begin(*route.Server, string) (func(strike.Outcome), bool) {
 	return func(strike.Outcome) {}, true
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,7 @@
 		tlsFiles("caller_tls", s.CallerTls, false),
 		logLevel("log_level", s.LogLevel),
 		policy("routing_policy", s.RoutingPolicy),
+		loopback("debug_addr", s.DebugAddr),
 	} {
 		if check != nil {
 			return check
@@ -150,6 +151,18 @@
 	return nil
 }
 
+// loopback accepts no other address, because profiles show what callers send.
+func loopback(field, value string) error {
+	if value == "" {
+		return nil
+	}
+	addr, err := netip.ParseAddrPort(value)
+	if err != nil || !addr.Addr().IsLoopback() {
+		return fault(field, "%q is not a loopback IP:port", value)
+	}
+	return nil
+}
+
 func httpURL(field, value string) error {
 	if value == "" {
 		return fault(field, "is missing")
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -243,7 +243,10 @@
 			}
 			now = now.Add(latency)
 			for range n {
-				l.Release("s", latency)
+				l.Observe("s", latency)
+			}
+			for range n {
+				l.Release("s")
 			}
 		}
 		return l.Limit("s")
--- a/pkg/limit/servers.go
+++ b/pkg/limit/servers.go
@@ -37,6 +37,9 @@
 	tolerance  = 2.0
 	bestPeriod = 30 * time.Second
 	targetCut  = 0.8
+	// slowStartShare is the part of the target below which the limit doubles with each round. Engines batch, so the
+	// limit of a new server is far above initialServerLimit.
+	slowStartShare = 0.5
 	cutPause   = time.Second // between cuts, so that one slow batch counts once
 )
 
@@ -93,17 +96,23 @@
 	return true
 }
 
-// Release ends a request. latency is the time to the first token; 0 means unknown.
-func (l *ServerLimits) Release(server string, latency time.Duration) {
+// Observe learns from the time to the first token of a request that is in flight. It is told at the first token and not
+// at the end, which for a long answer comes a hundred times later.
+func (l *ServerLimits) Observe(server string, latency time.Duration) {
 	s, target := l.get(server)
 	now := l.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	busy := float64(s.inFlight) >= s.limit/2
+	s.adapt(latency.Seconds(), target.Seconds(), busy, now)
+}
+
+// Release ends a request.
+func (l *ServerLimits) Release(server string) {
+	s, _ := l.get(server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.inFlight = max(0, s.inFlight-1)
-	if latency > 0 {
-		s.adapt(latency.Seconds(), target.Seconds(), busy, now)
-	}
 }
 
 // Limit returns the current limit of a server.
@@ -137,5 +146,8 @@
 		return // a limit that is not used says nothing about a higher one
 	}
 	next = s.limit + (next-s.limit)*limitStep/s.limit
+	if s.latency < slowStartShare*target {
+		next = s.limit + 1 // doubles the limit with each round of requests
+	}
 	s.limit = min(maxServerLimit, max(minServerLimit, next))
 }
