Tell the state of servers at once, and wait for it before a node is ready

Cause: TestHandoverRecomputesNothing failed 4 of 4 times (69 tokens computed again) when it ran within 2 s of the start: the new home did not know yet which models the preferred server had, so it chose another one. Ruled out: the KV import, which succeeded on the right server.

--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -32,6 +32,7 @@
 	router   *route.Router
 	cluster  *cluster
 	instance func(string) (platform.Instance, bool)
+	renew    func() // makes the router's list of servers be renewed
 	view     *loadview.Runner
 
 	mu      sync.Mutex
@@ -47,6 +48,7 @@
 		router:   n.router,
 		cluster:  n.cluster,
 		instance: func(id string) (platform.Instance, bool) { return n.tracker.Instance(id) },
+		renew:    func() { n.tracker.Renew() },
 		workers:  map[string]*pb.WorkerState{},
 		own:      map[string]backend.Load{},
 		events:   map[string]uint64{},
@@ -108,7 +110,8 @@
 	l.mu.Unlock()
 	l.router.SetLoad(server, load, time.Now())
 	if known == nil || !proto.Equal(known, state) {
-		l.cluster.publish(workerPrefix+server, state, 0, false)
+		// Urgent, because it changes a few times a day only and requests wait for it.
+		l.cluster.publish(workerPrefix+server, state, 0, true)
 	}
 }
 
@@ -118,8 +121,23 @@
 		return
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.workers[strings.TrimPrefix(item.Key, workerPrefix)] = state
+	l.mu.Unlock()
+	l.renew()
+}
+
+// knows reports whether the models of at least a part of the servers, in percent, are known. A node that knows few would
+// send requests to servers that have to load the model first.
+func (l *loads) knows(list []platform.Instance, percent int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := 0
+	for _, instance := range list {
+		if l.workers[instance.ID] != nil {
+			known++
+		}
+	}
+	return 100*known >= percent*len(list)
 }
 
 // pollCache gives the router the cache events of an observed server.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -91,15 +91,22 @@
 	}
 }
 
+// readyPercent is the part of the servers whose models a ready node knows; some may be down.
+const readyPercent = 50
+
 // waitingFor names what a node needs before it is ready.
 func (n *Node) waitingFor() []string {
 	var out []string
 	if n.Config() == nil {
 		out = append(out, "configuration")
 	}
-	if len(n.tracker.List()) == 0 {
+	list := n.tracker.List()
+	if len(list) == 0 {
 		out = append(out, "backend servers")
 	}
+	if !n.loads.knows(list, readyPercent) {
+		out = append(out, "states of backend servers")
+	}
 	return out
 }
 
@@ -157,9 +164,9 @@
 
 func loadClass(m membership.Member) uint32 { return m.Load / loadClassSize }
 
-// AwaitReady returns when the node is ready and sees the number of live nodes.
+// AwaitReady returns when the node is ready, sees the number of live nodes and knows all servers.
 func (n *Node) AwaitReady(ctx context.Context, nodes int) error {
-	for !n.Ready() || len(n.cluster.live()) < nodes {
+	for !n.Ready() || len(n.cluster.live()) < nodes || !n.loads.knows(n.tracker.List(), 100) {
 		if ctx.Err() != nil {
 			return merry.Errorf("not ready: %d live nodes, waits for %v", len(n.cluster.live()), n.waitingFor())
 		}
--- a/internal/servers/follow.go
+++ b/internal/servers/follow.go
@@ -64,7 +64,7 @@
 	} else {
 		t.add(list)
 	}
-	t.changed()
+	t.Renew()
 	return true
 }
 
@@ -120,7 +120,7 @@
 	if item.Gone {
 		ttl = goneTTL
 	}
-	t.Gossip.Set(instancePrefix+item.Id, value, ttl, false)
+	t.Gossip.Set(instancePrefix+item.Id, value, ttl, true)
 }
 
 func toItem(i platform.Instance) *pb.InstanceItem {
@@ -176,7 +176,7 @@
 		t.instances[item.Id] = fromItem(&item)
 	}
 	t.mu.Unlock()
-	t.changed()
+	t.Renew()
 }
 
 // followNotices reads the notices while this node is one of their readers.
@@ -241,7 +241,7 @@
 	t.mu.Lock()
 	t.notices[strings.TrimPrefix(item.Key, noticePrefix)] = time.UnixMilli(int64(notice.DeadlineUnixMs))
 	t.mu.Unlock()
-	t.changed()
+	t.Renew()
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// changed makes renew run soon.
-func (t *Tracker) changed() {
+// Renew gives the router the servers again soon, because something is known better.
+func (t *Tracker) Renew() {
 	select {
 	case t.wake <- struct{}{}:
 	default:
