gossip: repaired items are passed on once and digests have a budget of their own; a returning node is announced at once

Digests of many nodes that start together kept the items from being sent, and items brought by anti-entropy were pushed again to three peers.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -54,7 +54,7 @@
 	lendAbove = 0.6
 	// repairShare is the part of the budget, as a divisor, that only digests and their answers may use, so that
 	// a storm of urgent items cannot keep a node out of date.
-	repairShare = 6
+	repairShare = 4
 
 	// DefaultFanout is the number of peers an urgent item is pushed to at once.
 	DefaultFanout = 3
@@ -229,6 +229,23 @@
 	return added
 }
 
+// Hasten pushes a known item at once, here and on every node that learns of it from now on.
+func (c *Core) Hasten(now time.Time, key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.store.entry(key)
+	if !ok || e.item.Urgent {
+		return
+	}
+	item := e.toSend(now)
+	if item == nil {
+		return
+	}
+	item.Urgent = true
+	c.store.remove(key)
+	c.accept(now, item, "")
+}
+
 // Get returns the item with the key. The item must not be changed.
 func (c *Core) Get(key string) (*pb.GossipItem, bool) { return c.store.get(key) }
 
--- a/pkg/gossip/spread.go
+++ b/pkg/gossip/spread.go
@@ -75,8 +75,12 @@
 	c.refill(now)
 	for _, item := range push.Items {
 		c.stats.Received++
-		if item != nil && c.accept(now, item, from) {
-			added = append(added, item)
+		if item == nil || !c.accept(now, item, from) {
+			continue
+		}
+		added = append(added, item)
+		if r := c.rumors[item.Key]; push.Repair && r != nil {
+			c.passOnOnce(r)
 		}
 	}
 	out := c.answerWant(now, from, push.Want)
@@ -87,6 +91,16 @@
 	return out
 }
 
+// passOnOnce makes a rumor wait for one batch. An urgent item that anti-entropy brings is old: pushing it at once
+// to several peers would spend the budget on duplicates.
+func (c *Core) passOnOnce(r *rumor) {
+	was := r.urgent
+	r.urgent, r.left = false, 1
+	if was {
+		c.enqueue(r)
+	}
+}
+
 // pushUrgent sends the urgent items that are due, grouped by peer. It takes no more items than the budget allows,
 // so that the work during a storm is bounded by the budget as well.
 func (c *Core) pushUrgent(now time.Time) []Message {
@@ -316,7 +330,11 @@
 		return nil
 	}
 	versions := slices.Sorted(maps.Keys(have))
-	return c.sendRepair(c.pick(nil), digestEnvelope(&pb.GossipDigest{Versions: versions}))
+	p, env := c.pick(nil), digestEnvelope(&pb.GossipDigest{Versions: versions})
+	if p.Node == "" || !c.spend(env, 0) {
+		return nil
+	}
+	return []Message{{p, env}}
 }
 
 func digestEnvelope(digest *pb.GossipDigest) *pb.Envelope {
@@ -337,12 +355,17 @@
 	for _, version := range versions {
 		delete(missing, version)
 	}
-	return c.sendEntries(now, from, slices.Collect(maps.Values(missing)))
+	return c.sendEntries(now, from, slices.Collect(maps.Values(missing)), false)
 }
 
-// sendDigest sends the hashes of all buckets to a peer.
+// sendDigest sends the hashes of all buckets to a peer. It spends only from the part set aside for repair: when
+// many nodes start together, frequent digests would otherwise keep the items themselves from being sent.
 func (c *Core) sendDigest(p Peer) []Message {
-	return c.sendRepair(p, digestEnvelope(&pb.GossipDigest{Buckets: c.store.buckets()}))
+	env := digestEnvelope(&pb.GossipDigest{Buckets: c.store.buckets()})
+	if c.repairTokens < float64(cost(env)) {
+		return nil
+	}
+	return c.sendRepair(p, env)
 }
 
 // answerDigest lists the versions in the buckets that differ, from a random bucket on, so that a node that has
@@ -405,11 +428,12 @@
 	c.hurry(now, len(digest.Listed))
 	var out []Message
 	if len(want) > 0 {
+		c.nextDigest = minTime(c.nextDigest, now.Add(catchUpPeriod))
 		versions := slices.Sorted(maps.Keys(want))
 		push := &pb.GossipPush{Want: versions[:min(len(versions), maxListed)]}
 		out = c.sendRepair(c.byNode[from], &pb.Envelope{Body: &pb.Envelope_GossipPush{GossipPush: push}})
 	}
-	return append(out, c.sendEntries(now, from, lacking)...)
+	return append(out, c.sendEntries(now, from, lacking, true)...)
 }
 
 // answerWant sends the items that a peer asked for by version.
@@ -421,12 +445,12 @@
 	for _, version := range versions[:min(len(versions), maxListed)] {
 		wanted[version] = true
 	}
-	return c.sendEntries(now, from, c.store.withVersions(wanted))
+	return c.sendEntries(now, from, c.store.withVersions(wanted), true)
 }
 
 // sendEntries sends items to one peer in a random order, as far as the budget goes: when it is short, several
 // peers then bring different items.
-func (c *Core) sendEntries(now time.Time, to string, entries []entry) []Message {
+func (c *Core) sendEntries(now time.Time, to string, entries []entry, repair bool) []Message {
 	p, ok := c.byNode[to]
 	if !ok || len(entries) == 0 {
 		return nil
@@ -434,12 +458,12 @@
 	sortEntries(entries)
 	c.cfg.Rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 	var out []Message
-	push := &pb.GossipPush{}
+	push := &pb.GossipPush{Repair: repair}
 	size := 0
 	flush := func() bool {
 		sent := c.sendRepair(p, &pb.Envelope{Body: &pb.Envelope_GossipPush{GossipPush: push}})
 		out = append(out, sent...)
-		push, size = &pb.GossipPush{}, 0
+		push, size = &pb.GossipPush{Repair: repair}, 0
 		return len(sent) > 0
 	}
 	for _, e := range entries {
--- a/pkg/gossip/store.go
+++ b/pkg/gossip/store.go
@@ -82,6 +82,13 @@
 	return true
 }
 
+func (s *store) remove(key string) {
+	sh := s.shard(key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	delete(sh.items, key)
+}
+
 func (s *store) get(key string) (*pb.GossipItem, bool) {
 	e, ok := s.entry(key)
 	return e.item, ok
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -409,6 +409,10 @@
 	r.Region, r.FailureDomain = state.Region, state.FailureDomain
 	r.NodeAddr, r.CallerAddr = state.NodeAddr, state.CallerAddr
 	r.Status, r.Load = state.Status, state.Load
+	if !r.suspected.IsZero() || r.dead {
+		// A node that is back must not wait for batches; it cannot know that others consider it dead.
+		c.g.Hasten(now, keyPrefix+node)
+	}
 	r.suspected, r.dead = time.Time{}, false
 }
 
