Spare an idle node its wake-ups

Cause: half of an idle node's processor time was the scheduler's, from timers of 50 and 100 ms that found nothing to do.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -22,6 +22,8 @@
 	demandTTL = 10 * time.Second
 	// slotInterval is short against the time to the first token, in which the learned limits may double.
 	slotInterval = 50 * time.Millisecond
+	// idleSlotInterval spares an idle node wake-ups.
+	idleSlotInterval = 500 * time.Millisecond
 	// minSlots lets a node start work before it knows any server.
 	minSlots = 16
 )
@@ -81,7 +83,11 @@
 func (n *Node) adjustSlots(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.admission.SetConcurrency(n.slots())
-		sleep(ctx, slotInterval)
+		if n.openRequests.Load() > 0 {
+			sleep(ctx, slotInterval)
+		} else {
+			sleep(ctx, idleSlotInterval)
+		}
 	}
 }
 
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -30,7 +30,7 @@
 	// strikeTTL is how long strikes are kept without a change.
 	strikeTTL = time.Hour
 	// strikeTick is how often crashes are decided on and changes are told to other nodes.
-	strikeTick = 100 * time.Millisecond
+	strikeTick = 250 * time.Millisecond
 	// crashProbes is how often a server whose connection broke is asked whether it lives, crashProbeWait the wait
 	// between two questions. The server may still be about to go down when the connection breaks.
 	crashProbes    = 3
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -76,6 +76,7 @@
 // Replicator is the replication of one node.
 type Replicator struct {
 	Options
+	wake chan struct{} // there is progress to send
 
 	mu      sync.Mutex
 	copies  map[string]*replicaState
@@ -95,6 +96,7 @@
 func New(opts Options) *Replicator {
 	return &Replicator{
 		Options: opts,
+		wake:    make(chan struct{}, 1),
 		copies:  map[string]*replicaState{},
 		dirty:   map[string]*stream.Log{},
 		mirrors: map[string]*mirror{},
@@ -193,8 +195,13 @@
 	id := log.Meta().ID
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.copies[id]; ok {
-		r.dirty[id] = log
+	if _, ok := r.copies[id]; !ok {
+		return
+	}
+	r.dirty[id] = log
+	select {
+	case r.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -218,17 +225,16 @@
 	}
 }
 
-// Run sends progress until ctx ends.
+// Run sends progress until ctx ends. It sleeps while nothing changes: an idle node should not wake up 20 times a second.
 func (r *Replicator) Run(ctx context.Context) {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
-			r.flush(ctx)
+		case <-r.wake:
 		case <-ctx.Done():
 			return
 		}
+		sleep(ctx, flushInterval)
+		r.flush(ctx)
 	}
 }
 
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,7 +37,7 @@
 	// fallbackInterval is how often a node that is not the reader reads the list.
 	fallbackInterval = time.Minute
 	// roleInterval is how often a node asks whether it is a reader.
-	roleInterval = 250 * time.Millisecond
+	roleInterval = 500 * time.Millisecond
 	// noticeWait is how long one read of the notices waits for a new one.
 	noticeWait = 10 * time.Second
 	// retryInterval is the wait after a failed read.
@@ -94,6 +95,8 @@
 	instances map[string]platform.Instance
 	notices   map[string]time.Time // deadline by instance
 	self      sync.Once
+	// backends are the backend servers as of the last renewal, in the order of their names.
+	backends atomic.Pointer[[]platform.Instance]
 }
 
 // New returns a Tracker that listens to gossip.
@@ -163,6 +166,8 @@
 		servers = append(servers, t.server(instance, noticed))
 	}
 	t.Router.SetServers(servers)
+	backends := slices.DeleteFunc(list, func(i platform.Instance) bool { return i.Kind == platform.EntryNode })
+	t.backends.Store(&backends)
 	if t.Changed != nil {
 		t.Changed(t.List())
 	}
@@ -207,10 +212,12 @@
 	return out
 }
 
-// List returns the backend servers.
+// List returns the backend servers as of the last renewal. The slice is shared and must not be changed.
 func (t *Tracker) List() []platform.Instance {
-	list, _ := t.state(time.Now())
-	return slices.DeleteFunc(list, func(i platform.Instance) bool { return i.Kind == platform.EntryNode })
+	if list := t.backends.Load(); list != nil {
+		return *list
+	}
+	return nil
 }
 
 // Instance returns one instance.
