--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenlug/pollenlug/internal/dispatch"
@@ -184,6 +185,7 @@
 		Policy:        route.Policy(s.RoutingPolicy),
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
+		Seed:          xxhash.Sum64String(s.Node), // nodes must prefer different subsets of servers
 	})
 	n.guard = newGuard(n.cluster, n.metrics)
 	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: minSlots})
@@ -239,7 +241,7 @@
 		Member:    n.cluster.member,
 		Transport: n.transport,
 		Logs:      n.logs,
-		Run:       func(log *stream.Log) error { return n.runner.Run(log, func() {}) },
+		Run:       func(log *stream.Log, kv string) error { return n.runner.RunWith(log, kv, func() {}) },
 		Metrics:   n.metrics,
 		Log:       n.log,
 	})
@@ -411,6 +413,8 @@
 		func(ctx context.Context) { n.loads.run(ctx, n.tracker.List) },
 		n.expire,
 		n.exchangeDemand,
+		n.adjustSlots,
+		n.serveProfiles,
 		n.guard.run,
 		n.purgeClaims,
 		n.shareFolderFaults,
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -109,7 +109,7 @@
 		Budget:   free{},
 		Strikes:  free{},
 		Limits:   free{},
-		Health:   free{},
+		Health:   health{},
 		Progress: progressOf{n},
 		Config:   func() *config.Index { return index },
 		Metrics:  set,
@@ -122,7 +122,7 @@
 		Member:    w.memberOf,
 		Transport: &testTransport{world: w, from: n},
 		Logs:      stream.NewStore(),
-		Run:       func(log *stream.Log) error { return n.runner.Run(log, func() {}) },
+		Run:       func(log *stream.Log, kv string) error { return n.runner.RunWith(log, kv, func() {}) },
 		Metrics:   set,
 		Log:       logrus.NewEntry(logger),
 	})
@@ -140,11 +140,15 @@
 // free grants everything.
 type free struct{}
 
-func (free) Observe(string, bool) {}
+// health accepts every report.
+type health struct{}
+
+func (health) Observe(string, bool) {}
 
 func (free) Wait(ctx context.Context) error             { return ctx.Err() }
 func (free) Acquire(string) bool                        { return false }
-func (free) Release(string, time.Duration)              {}
+func (free) Observe(string, time.Duration)              {}
+func (free) Release(string)                             {}
 func (free) State(string) (strike.State, time.Duration) { return strike.Clear, 0 }
 func (free) Begin(*route.Server, string) (func(strike.Outcome), bool) {
 	return func(strike.Outcome) {}, true
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -69,7 +69,8 @@
 	Transport Requester
 	Logs      *stream.Store
 	// Run starts the attempts of a log whose home has become this node.
-	Run     func(log *stream.Log) error
+	// The KV cache of its last attempt may wait under a handle on the log's server.
+	Run     func(log *stream.Log, kv string) error
 	Metrics *metrics.Set
 	Log     *logrus.Entry
 }
@@ -77,6 +78,7 @@
 // Replicator is the replication of one node.
 type Replicator struct {
 	Options
+	wake chan struct{} // there is progress to send
 
 	mu      sync.Mutex
 	copies  map[string]*replicaState
@@ -96,6 +98,7 @@
 func New(opts Options) *Replicator {
 	return &Replicator{
 		Options: opts,
+		wake:    make(chan struct{}, 1),
 		copies:  map[string]*replicaState{},
 		dirty:   map[string]*stream.Log{},
 		mirrors: map[string]*mirror{},
@@ -142,6 +145,7 @@
 		r.mu.Lock()
 		r.copies[id] = &replicaState{peer: peer}
 		r.mu.Unlock()
+		r.signal() // from now on the replica's node is watched
 		return nil
 	}
 	if len(candidates) == openTries || ctx.Err() != nil {
@@ -199,9 +203,11 @@
 	id := log.Meta().ID
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.copies[id]; ok {
-		r.dirty[id] = log
+	if _, ok := r.copies[id]; !ok {
+		return
 	}
+	r.dirty[id] = log
+	r.signal()
 }
 
 // Confirm sends tokens to the replica before they are delivered to the caller, so that a takeover continues with
@@ -224,25 +230,45 @@
 	}
 }
 
-// Run sends progress until ctx ends.
+// signal wakes Run.
+func (r *Replicator) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends progress until ctx ends. It sleeps while nothing changes: an idle node should not wake up 20 times a second.
 func (r *Replicator) Run(ctx context.Context) {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
 	looked := time.Time{}
-	for {
-		select {
-		case now := <-ticker.C:
-			r.flush(ctx)
-			if now.Sub(looked) >= leaveInterval {
-				looked = now
-				r.moveReplicas(ctx)
-			}
-		case <-ctx.Done():
-			return
+	for r.awaitWork(ctx) {
+		sleep(ctx, flushInterval)
+		r.flush(ctx)
+		if now := time.Now(); now.Sub(looked) >= leaveInterval {
+			looked = now
+			r.moveReplicas(ctx)
 		}
 	}
 }
 
+// awaitWork returns true when there is progress to send, or after leaveInterval while there are replicas, and false
+// when ctx has ended.
+func (r *Replicator) awaitWork(ctx context.Context) bool {
+	r.mu.Lock()
+	replicas := len(r.copies) > 0
+	r.mu.Unlock()
+	var look <-chan time.Time
+	if replicas {
+		look = time.After(leaveInterval)
+	}
+	select {
+	case <-r.wake:
+	case <-look:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // batch is the progress for one replica.
 type batch struct {
 	peer   membership.Member
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -88,7 +88,12 @@
 	if log.End().Finished {
 		return
 	}
-	if err := r.Options.Run(log); err != nil {
+	r.run(log, "")
+}
+
+// run starts the attempts of a response; kv is the handle of a KV cache that waits on the log's server.
+func (r *Replicator) run(log *stream.Log, kv string) {
+	if err := r.Options.Run(log, kv); err != nil {
 		_ = log.Finish(log.Attempt(), "", code.From(err).Code, time.Now())
 	}
 }
@@ -113,18 +118,20 @@
 func (r *Replicator) takeOver(log *stream.Log) {
 	log.SetHome(r.Self.Node)
 	r.Metrics.Add("responses_taken_over", 1)
-	r.adopt(log, "")
+	r.adopt(log, "", "")
 }
 
 // adopt finds a replica for a response that has become this node's and continues it. The replica is not on the node
 // that handed the response over, since that one leaves and this node may not have heard of it yet.
-func (r *Replicator) adopt(log *stream.Log, leaving string) {
+func (r *Replicator) adopt(log *stream.Log, kv, leaving string) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTries*openTimeout)
 	defer cancel()
 	if err := r.openExcept(ctx, log, leaving); err != nil {
 		r.Log.WithError(err).Warn("response continues without a replica")
 	}
-	r.resume(log)
+	if !log.End().Finished {
+		r.run(log, kv)
+	}
 }
 
 // takeHandover continues a response of a node that leaves.
@@ -134,6 +141,6 @@
 		return ack(code.InvalidEventID, err.Error())
 	}
 	log.SetHome(r.Self.Node)
-	r.adopt(log, from)
+	r.adopt(log, message.Kv, from)
 	return ack(code.OK, "")
 }
