Tell only the demand of workspaces that have limits, also when there is none

A node that was not heard of for 3 s kept an equal part of each limit reserved, so limits with idle nodes were not used in full; and demand without a limit was sent for nothing.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -57,8 +57,12 @@
 		}
 		n.admission.SetNodes(names)
 		n.router.SetPeers(len(n.cluster.live()))
+		limited := limitedWorkspaces(n.Config())
 		out := &pb.WorkspaceDemand{}
 		for _, d := range n.admission.ExportDemand() {
+			if !limited[d.Workspace] {
+				continue
+			}
 			out.Demands = append(out.Demands, &pb.Demand{
 				Workspace:         d.Workspace,
 				RequestsPerSecond: d.Requests,
@@ -66,13 +70,28 @@
 				Concurrent:        d.Concurrent,
 			})
 		}
-		if len(out.Demands) > 0 {
+		// A node without demand says so: one that is not heard of keeps a part of each limit reserved.
+		if len(limited) > 0 {
 			n.cluster.publish(demandKeyPrefix+n.opts.Settings.Node, out, demandTTL, false)
 		}
 		n.cluster.view.SetLoad(int(n.openRequests.Load()))
 	}
 }
 
+// limitedWorkspaces names the workspaces with a limit over all nodes; the demand of others concerns nobody else.
+func limitedWorkspaces(index *config.Index) map[string]bool {
+	out := map[string]bool{}
+	if index == nil {
+		return out
+	}
+	for _, w := range index.Folder().Workspaces {
+		if w.MaxRequestsPerSecond > 0 || w.MaxTokensPerSecond > 0 || w.MaxConcurrentRequests > 0 {
+			out[w.Name] = true
+		}
+	}
+	return out
+}
+
 // mayAdmit reports whether a node may still admit requests, and so needs its share of the limits: also one that is
 // suspected or out of touch.
 func mayAdmit(m membership.Member) bool {
