--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -11,6 +11,7 @@
 	"github.com/pollenlug/pollenlug/internal/gateway"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/configstore"
+	"github.com/pollenlug/pollenlug/pkg/limit"
 	"github.com/pollenlug/pollenlug/pkg/membership"
 )
 
@@ -26,6 +27,7 @@
 	Servers       []serverStatus     `json:"servers"`
 	Responses     responseStatus     `json:"responses"`
 	Claims        claimStatus        `json:"non_repeatable_calls"`
+	Limits        limit.Status       `json:"limits"`
 	Quarantines   any                `json:"quarantines"`
 }
 
@@ -76,6 +78,7 @@
 		Servers:       n.serverStatus(),
 		Responses:     responseStatus{n.runner.Running(), n.logs.Len(), n.openRequests.Load()},
 		Claims:        claimStatus{claims.Open, claims.Background},
+		Limits:        n.admission.Status(),
 		Quarantines:   n.guard.status(),
 	}
 }
