--- a/internal/servers/follow.go
+++ b/internal/servers/follow.go
@@ -14,6 +14,7 @@
 const (
 	instancePrefix = "instance/"
 	noticePrefix   = "notice/"
+	drainPrefix    = "drain/"
 	// goneTTL is how long the removal of an instance is gossiped.
 	goneTTL = 5 * time.Minute
 )
@@ -244,6 +245,43 @@
 	t.changed()
 }
 
+// Drain tells all nodes that a server leaves by the fleet plan: it gets no new work, and what still runs shortly before
+// the deadline moves. The reclaim notice of the cloud has its own item, which decides where both exist. A repeated call
+// does nothing; a drain cannot be withdrawn.
+func (t *Tracker) Drain(server string, deadline time.Time) {
+	if known, ok := t.drainOf(server); ok && known.UnixMilli() == deadline.UnixMilli() {
+		return
+	}
+	value, err := proto.Marshal(&pb.NoticeItem{DeadlineUnixMs: uint64(deadline.UnixMilli())})
+	if err != nil {
+		t.Log.WithError(err).Error("drain cannot be encoded")
+		return
+	}
+	t.Gossip.Set(drainPrefix+server, value, max(0, time.Until(deadline))+noticeMemory, true)
+	t.setDrain(server, deadline)
+}
+
+func (t *Tracker) heardDrain(item *pb.GossipItem) {
+	var drain pb.NoticeItem
+	if proto.Unmarshal(item.Value, &drain) == nil {
+		t.setDrain(strings.TrimPrefix(item.Key, drainPrefix), time.UnixMilli(int64(drain.DeadlineUnixMs)))
+	}
+}
+
+func (t *Tracker) setDrain(server string, deadline time.Time) {
+	t.mu.Lock()
+	t.drains[server] = deadline
+	t.mu.Unlock()
+	t.changed()
+}
+
+func (t *Tracker) drainOf(server string) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	deadline, ok := t.drains[server]
+	return deadline, ok
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -45,6 +45,9 @@
 	listTimeout = 2 * time.Second
 	// noticeMemory is how long a notice is kept after its deadline; the list lags less.
 	noticeMemory = time.Minute
+	// drainMoveTime is how long before the end of a drain the responses that still run are moved. Before that they are
+	// left to finish, which costs no recomputed token.
+	drainMoveTime = time.Minute
 	// applyInterval is how often the router's list is renewed when nothing changes, for notices that expire.
 	applyInterval = 2 * time.Second
 )
@@ -91,6 +94,7 @@
 	mu        sync.Mutex
 	instances map[string]platform.Instance
 	notices   map[string]time.Time // deadline by instance
+	drains    map[string]time.Time // deadline by instance, of servers that leave by the fleet plan
 	self      sync.Once
 }
 
@@ -101,9 +105,11 @@
 		wake:      make(chan struct{}, 1),
 		instances: map[string]platform.Instance{},
 		notices:   map[string]time.Time{},
+		drains:    map[string]time.Time{},
 	}
 	opts.Gossip.Watch(instancePrefix, t.heardInstance)
 	opts.Gossip.Watch(noticePrefix, t.heardNotice)
+	opts.Gossip.Watch(drainPrefix, t.heardDrain)
 	return t
 }
 
@@ -158,6 +164,12 @@
 		if noticed {
 			leaving[instance.ID] = deadline
 		}
+		if until, draining := t.drainOf(instance.ID); draining {
+			if !noticed && time.Until(until) < drainMoveTime {
+				leaving[instance.ID] = until
+			}
+			noticed = true
+		}
 		servers = append(servers, t.server(instance, noticed))
 	}
 	t.Router.SetServers(servers)
@@ -173,6 +185,7 @@
 func (t *Tracker) state(now time.Time) ([]platform.Instance, map[string]time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.drains, func(_ string, deadline time.Time) bool { return now.Sub(deadline) > noticeMemory })
 	maps.DeleteFunc(t.notices, func(_ string, deadline time.Time) bool { return now.Sub(deadline) > noticeMemory })
 	list := slices.SortedFunc(maps.Values(t.instances), func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
 	return list, maps.Clone(t.notices)
@@ -221,5 +234,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	_, noticed := t.notices[id]
+	if _, draining := t.drains[id]; draining {
+		return true
+	}
 	return noticed || t.instances[id].State == platform.Leaving
 }
