--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenlug/pollenlug/internal/dispatch"
+	"github.com/pollenlug/pollenlug/internal/fleetholder"
 	"github.com/pollenlug/pollenlug/internal/gateway"
 	"github.com/pollenlug/pollenlug/internal/generate"
 	"github.com/pollenlug/pollenlug/internal/metrics"
@@ -95,6 +96,8 @@
 	dispatcher   *dispatch.Dispatcher
 	admission    *limit.Admission
 	guard        *guard
+	modelDemand  *modelDemand
+	fleet        *fleetholder.Fleet
 	server       *http.Server
 
 	folderFaults atomic.Pointer[folderFaults]
@@ -156,6 +159,7 @@
 	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: minSlots})
 	n.serverLimits = limit.NewServerLimits(config.DefaultFirstToken, time.Now)
 	n.loads = newLoads(n)
+	n.modelDemand = newModelDemand()
 	n.buildResponses()
 	n.buildServices()
 	n.tracker = servers.New(servers.Options{
@@ -181,6 +185,7 @@
 		n.config.Offer(context.Background(), version, digest, node)
 	})
 	n.cluster.gossip.Watch(folderFaultKey, n.heardFolderFaults)
+	n.fleet = n.newFleet()
 	n.server = n.newServer()
 }
 
@@ -242,6 +247,7 @@
 			leaving:      n.leaving.Load,
 			strikes:      n.guard,
 			countRequest: n.guard.Request,
+			countDemand:  n.countDemand,
 			admission:    n.admission,
 			logs:         n.logs,
 			replicator:   n.replicator,
@@ -359,6 +365,8 @@
 		func(ctx context.Context) { n.loads.run(ctx, n.tracker.List) },
 		n.expire,
 		n.exchangeDemand,
+		n.exchangeModelDemand,
+		n.fleet.Run,
 		n.guard.run,
 		n.purgeClaims,
 		n.shareFolderFaults,
--- a/internal/node/responses.go
+++ b/internal/node/responses.go
@@ -26,10 +26,12 @@
 	strikes generate.Strikes
 	// countRequest adds a first attempt to the retry budget.
 	countRequest func()
-	admission    *limit.Admission
-	logs         *stream.Store
-	replicator   *replica.Replicator
-	runner       *generate.Runner
+	// countDemand adds a request to the demand for its model.
+	countDemand func(model string, maxTokens uint32) (answered func(tokens uint32))
+	admission   *limit.Admission
+	logs        *stream.Store
+	replicator  *replica.Replicator
+	runner      *generate.Runner
 }
 
 // Start implements gateway.Responses. The order matters: a request that is refused leaves nothing behind, and a
@@ -42,6 +44,7 @@
 		return nil, code.New(code.RequestQuarantined, "this request has crashed two backend servers")
 	}
 	r.countRequest()
+	answered := r.countDemand(req.Request.Model, req.Request.MaxTokens)
 	grant, err := r.admission.Acquire(ctx, limit.Request{
 		Workspace: req.Workspace.Name,
 		Priority:  req.Workspace.Priority,
@@ -52,7 +55,10 @@
 		return nil, err
 	}
 	log := stream.NewLog(r.meta(req), time.Now())
-	release := sync.OnceFunc(func() { grant.Done(log.Len()) })
+	release := sync.OnceFunc(func() {
+		grant.Done(log.Len())
+		answered(log.Len())
+	})
 	if err := r.accept(ctx, log, release); err != nil {
 		release()
 		return nil, err
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/pollenlug/pollenlug/internal/fleetholder"
 	"github.com/pollenlug/pollenlug/internal/gateway"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/configstore"
@@ -27,6 +28,7 @@
 	Responses     responseStatus     `json:"responses"`
 	Claims        claimStatus        `json:"non_repeatable_calls"`
 	Quarantines   any                `json:"quarantines"`
+	Fleet         fleetholder.Status `json:"fleet"`
 }
 
 type memberStatus struct {
@@ -77,6 +79,7 @@
 		Responses:     responseStatus{n.runner.Running(), n.logs.Len(), n.openRequests.Load()},
 		Claims:        claimStatus{claims.Open, claims.Background},
 		Quarantines:   n.guard.status(),
+		Fleet:         n.fleet.Status(),
 	}
 }
 
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -229,6 +229,14 @@
 	return instance, ok
 }
 
+// Reclaimed reports whether the cloud reclaims an instance; a drain by the fleet plan does not count.
+func (t *Tracker) Reclaimed(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, noticed := t.notices[id]
+	return noticed || t.instances[id].State == platform.Leaving
+}
+
 // HasNotice reports whether an instance is to leave or has left after a notice.
 func (t *Tracker) HasNotice(id string) bool {
 	t.mu.Lock()
