--- a/internal/fleetholder/decide.go
+++ b/internal/fleetholder/decide.go
@@ -95,11 +95,12 @@
 	var out []fleet.Group
 	for _, g := range folder.BackendGroups {
 		group := fleet.Group{
-			Name:        g.Name,
-			Kind:        platform.PlainService,
-			Concurrency: g.Concurrency,
-			MinServers:  int(g.MinServers),
-			MaxServers:  int(g.MaxServers),
+			Name:          g.Name,
+			Kind:          platform.PlainService,
+			ChecksFencing: g.ChecksFencing,
+			Concurrency:   g.Concurrency,
+			MinServers:    int(g.MinServers),
+			MaxServers:    int(g.MaxServers),
 		}
 		if g.Kind == pb.BackendGroup_MODEL_ENGINE {
 			group.Kind = platform.ModelEngine
--- a/internal/fleetholder/holder.go
+++ b/internal/fleetholder/holder.go
@@ -10,8 +10,8 @@
 // right before each call. A call that is late all the same repeats a decision in the row.
 //
 // Orders are desired states and are only given for what a late order cannot harm: a load adds to what a server has,
-// an unload names a model that is not configured, and the standby role goes only to servers that drain, which is never
-// withdrawn. Servers that check fencing numbers refuse late orders besides.
+// an unload goes only to servers that check fencing numbers, and the standby role goes only to servers that drain, which is never
+// withdrawn.
 //
 // The row is written only when a decision changes it, so a fleet at rest costs no store call beyond the lease's.
 // Without a holder nodes serve on with the servers there are.
--- a/internal/fleetholder/orders.go
+++ b/internal/fleetholder/orders.go
@@ -16,6 +16,10 @@
 // loadLimit is how long an order may take to show in the server's report before it is given again.
 const loadLimit = 5 * time.Minute
 
+// unloadDelay is how long a model must be out of the configuration before it is unloaded, so that an edit that is soon
+// undone costs no load.
+const unloadDelay = 10 * time.Minute
+
 // reportLag is how long reports may show what was before an order.
 const reportLag = 10 * time.Second
 
@@ -46,8 +50,12 @@
 		addrs[s.ID] = s.Addr
 	}
 	blocked := time.Now().Before(t.loadAfter)
+	t.trackUnwanted()
 	for _, o := range t.plan.Orders {
 		addr := addrs[o.Server]
+		if o.Kind == backend.Unload && time.Since(t.unwanted[o.Model]) < unloadDelay {
+			continue
+		}
 		if addr == "" || o.WeightsMiB > 0 && blocked {
 			continue
 		}
@@ -68,6 +76,22 @@
 	return nil
 }
 
+// trackUnwanted notes since when the plan wants models to be unloaded.
+func (t *term) trackUnwanted() {
+	unwanted := map[string]time.Time{}
+	for _, o := range t.plan.Orders {
+		if o.Kind != backend.Unload {
+			continue
+		}
+		since := t.unwanted[o.Model]
+		if since.IsZero() {
+			since = time.Now()
+		}
+		unwanted[o.Model] = since
+	}
+	t.unwanted = unwanted
+}
+
 func (t *term) reserve(ctx context.Context, o fleet.Order) (time.Duration, error) {
 	var wait time.Duration
 	err := t.guarded(ctx, func(ctx context.Context, _ uint64) (err error) {
--- a/internal/fleetholder/term.go
+++ b/internal/fleetholder/term.go
@@ -42,6 +42,8 @@
 	ordered map[string]map[string]given // by server and key, see fleet.Server.Ordered
 	// updated has the servers that loaded the present version of a model while others hold an older one.
 	updated map[string]map[string]bool
+	// unwanted has the models to unload and since when they are not configured.
+	unwanted map[string]time.Time
 	// loadAfter is when the weight store allows the next load.
 	loadAfter time.Time
 	prices    []platform.Price
@@ -82,6 +84,9 @@
 			return err
 		}
 	}
+	if t.version == 0 && time.Since(t.listedAt) < firstWait {
+		return nil
+	}
 	t.readPrices(ctx)
 	servers := t.servers()
 	t.settle(servers)
@@ -115,7 +120,9 @@
 		return err
 	}
 	t.row, t.stored, t.version = row, proto.CloneOf(row), found.Version
-	t.listed, t.listedAt = list, time.Now()
+	if t.listedAt.IsZero() {
+		t.listed, t.listedAt = list, time.Now()
+	}
 	t.verified = true
 	return nil
 }
@@ -161,6 +168,10 @@
 	t.prices, t.pricesAt = prices, time.Now()
 }
 
+// firstWait is how long the first holder of all looks at the instances before it acts. The list lags, so a platform
+// that has just come up shows instances late, and no row tells of them.
+const firstWait = 10 * time.Second
+
 // listedTime is how long the list that the successor read itself adds to the one that nodes share, which lags.
 const listedTime = time.Minute
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -77,6 +77,8 @@
 	Kind    platform.InstanceKind
 	Classes []Class
 	Models  []Model
+	// ChecksFencing means that the servers refuse late orders. Only they get orders to unload, which could harm late.
+	ChecksFencing bool
 	// Concurrency is how many requests a server runs at a time; 0 means unknown.
 	Concurrency uint32
 	// MinServers and MaxServers bound the servers; 0 for MaxServers means no limit.
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -188,7 +188,7 @@
 		}
 	}
 	for name, version := range s.Models {
-		if !configured[name] {
+		if !configured[name] && pl.g.ChecksFencing {
 			pl.add(s, backend.Order{Kind: backend.Unload, Model: name, Version: version}, 0, needUnload, 0, "the model is no longer configured")
 		}
 	}
--- a/pkg/fleet/plan_test.go
+++ b/pkg/fleet/plan_test.go
@@ -262,6 +262,7 @@
 // everywhere at once, and against a draining server that takes requests.
 func TestOrders(t *testing.T) {
 	s := newSim(t, 2, 0)
+	s.in.Groups[0].ChecksFencing = true
 	s.in.Groups[0].Models = []Model{
 		{Name: "big", Version: "2", Adapters: []string{"a"}, WeightsMiB: 900, MinPerDomain: 1},
 		{Name: "small", Version: "1", WeightsMiB: 10, MinPerDomain: 1},
