--- /dev/null
+++ b/internal/devcluster/fleet_test.go
@@ -0,0 +1,40 @@
+package devcluster
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollenlug/pollenlug/pkg/platform"
+)
+
+// Guards against a fleet loop that is not connected: an engine that the cloud took away is replaced, and nothing else
+// is started or stopped, although the loop runs on three nodes.
+func TestFleetReplacesEngine(t *testing.T) {
+	c := startCluster(t)
+	cloud := c.Standins.Platform.Cloud
+	cloud.Crash("assistant-6")
+	deadline := time.Now().Add(time.Minute)
+	for {
+		list, err := cloud.Instances(context.Background())
+		assert.NilError(t, err)
+		engines, others := 0, 0
+		for _, i := range list {
+			if i.BackendGroup == "assistant" && i.State == platform.Live {
+				engines++
+			}
+			if strings.HasPrefix(i.ID, "i-") {
+				others++
+			}
+		}
+		assert.Assert(t, others <= 1, "%d instances were started", others)
+		if engines == perGroup && others == 1 {
+			return
+		}
+		assert.Assert(t, time.Now().Before(deadline), "%d engines are live", engines)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/fleetholder/harness_test.go
+++ b/internal/fleetholder/harness_test.go
@@ -201,6 +201,8 @@
 	until  time.Time
 	// place is where the node pauses next, for longer than its lease.
 	place string
+	// staleRow changes what the node reads of the fleet's row.
+	staleRow func(platform.Row) platform.Row
 	// late delivers an order after that time although the call has failed.
 	late time.Duration
 }
@@ -297,7 +299,13 @@
 func (n *testNode) Get(ctx context.Context, table, key string) (platform.Row, error) {
 	n.wait()
 	defer n.wait()
-	return n.client.Get(ctx, table, key)
+	row, err := n.client.Get(ctx, table, key)
+	n.locked(func() {
+		if table == tableName && n.staleRow != nil && err == nil {
+			row = n.staleRow(row)
+		}
+	})
+	return row, err
 }
 
 func (n *testNode) List(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
--- a/internal/fleetholder/holder_test.go
+++ b/internal/fleetholder/holder_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pollenlug/pollenlug/internal/standin/table"
 	"github.com/pollenlug/pollenlug/pkg/fleet"
+	"github.com/pollenlug/pollenlug/pkg/platform"
 )
 
 // inWorld runs a test in virtual time with the fleet loops of some nodes.
@@ -125,6 +126,44 @@
 	})
 }
 
+// Guards against a successor that acts on an old row: here the one from before the last decision, whose instance is
+// not in the list yet.
+func TestStaleRow(t *testing.T) {
+	inWorld(t, 1, 0, 2, func(w *world, nodes []*testNode) {
+		time.Sleep(time.Minute)
+		stale := false
+		before, err := w.table.Get(t.Context(), tableName, rowKey)
+		assert.NilError(t, err)
+		w.locked(func() {
+			nodes[1].staleRow = func(row platform.Row) platform.Row {
+				if stale {
+					return before
+				}
+				return row
+			}
+		})
+		w.cloud.Crash("assistant-5")
+		for w.count("start") == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.locked(func() { stale = true })
+		nodes[0].pause(time.Hour)
+		w.cloud.Crash("assistant-0")
+		time.Sleep(time.Minute)
+		assert.Equal(t, w.count("start"), 1, "%v", w.calls())
+		w.locked(func() { stale = false })
+		time.Sleep(10 * time.Minute)
+		assert.Equal(t, len(w.live("assistant")), 8)
+		tokens := map[string]bool{}
+		for _, a := range w.calls() {
+			if a.kind == "start" {
+				tokens[a.what] = true
+			}
+		}
+		assert.Equal(t, len(tokens), 2, "%v", w.calls())
+	})
+}
+
 // Guards against two nodes that act at a time when answers of the table are lost, late or refused.
 func TestLostAnswers(t *testing.T) {
 	for seed := range uint64(5) {
--- a/internal/fleetholder/term.go
+++ b/internal/fleetholder/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,7 +33,7 @@
 	row, stored *pb.FleetRow
 	version     uint64
 	verified    bool
-	// listed are the instances as the successor read them itself when it took over.
+	// listed are the instances that the successor read itself when it took over and that the shared list has not shown.
 	listed   []platform.Instance
 	listedAt time.Time
 
@@ -90,8 +91,12 @@
 	t.readPrices(ctx)
 	servers := t.servers()
 	t.settle(servers)
+	short := t.plan.Short
 	t.plan = fleet.Plan(t.input(index, servers))
 	t.memory = t.plan.Memory
+	if !maps.Equal(short, t.plan.Short) {
+		t.log.WithField("groups", t.plan.Short).Warn("backend groups that cannot get their capacity have changed")
+	}
 	t.decide()
 	if err := t.store(ctx); err != nil {
 		return err
@@ -172,22 +177,23 @@
 // that has just come up shows instances late, and no row tells of them.
 const firstWait = 10 * time.Second
 
-// listedTime is how long the list that the successor read itself adds to the one that nodes share, which lags.
+// listedTime is how long an instance that the successor read itself counts although the list that nodes share, which
+// lags more, has not shown it yet.
 const listedTime = time.Minute
 
 // servers returns the backend servers in the order of their names.
 func (t *term) servers() []Server {
 	out := slices.Clone(t.f.Servers())
-	if time.Since(t.listedAt) < listedTime {
-		known := map[string]bool{}
-		for _, s := range out {
-			known[s.ID] = true
-		}
-		for _, i := range t.listed {
-			if !known[i.ID] && i.Kind != platform.EntryNode {
-				out = append(out, Server{Instance: i})
-			}
-		}
+	known := make(map[string]bool, len(out))
+	for _, s := range out {
+		known[s.ID] = true
+	}
+	late := time.Since(t.listedAt) >= listedTime
+	t.listed = slices.DeleteFunc(t.listed, func(i platform.Instance) bool {
+		return late || known[i.ID] || i.Kind == platform.EntryNode
+	})
+	for _, i := range t.listed {
+		out = append(out, Server{Instance: i})
 	}
 	return out
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pollenlug/pollenlug/internal/fleetholder"
 	"github.com/pollenlug/pollenlug/pkg/backend"
@@ -12,6 +13,9 @@
 	"github.com/pollenlug/pollenlug/pkg/platform"
 )
 
+// leavePoll is how often the fleet loop asks whether the node leaves.
+const leavePoll = 250 * time.Millisecond
+
 // newFleet builds the fleet loop.
 func (n *Node) newFleet() *fleetholder.Fleet {
 	p := n.opts.Platform
@@ -34,6 +38,19 @@
 	})
 }
 
+// runFleet runs the fleet loop until ctx ends or the node leaves, so that another node takes the lease at once.
+func (n *Node) runFleet(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil && !n.Leaving() {
+			sleep(ctx, leavePoll)
+		}
+	}()
+	n.fleet.Run(ctx)
+}
+
 // loadNow asks a backend server for its load.
 func (n *Node) loadNow(ctx context.Context, instance platform.Instance) (backend.Load, error) {
 	if instance.Kind == platform.PlainService {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -366,7 +366,7 @@
 		n.expire,
 		n.exchangeDemand,
 		n.exchangeModelDemand,
-		n.fleet.Run,
+		n.runFleet,
 		n.guard.run,
 		n.purgeClaims,
 		n.shareFolderFaults,
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -123,8 +123,9 @@
 
 // Cell names what a start asks for and what a refusal concerns.
 type Cell struct {
-	Class, Domain string
-	Reclaimable   bool
+	Class       string `json:"instance_class"`
+	Domain      string `json:"failure_domain"`
+	Reclaimable bool   `json:"reclaimable"`
 }
 
 // Refusal is the state of a cell whose start was refused.
@@ -199,9 +200,9 @@
 
 // Count is how many instances of a group should run in a cell.
 type Count struct {
-	Group string
+	Group string `json:"backend_group"`
 	Cell
-	Servers int
+	Servers int `json:"servers"`
 }
 
 // Result is the plan of one step.
