--- a/internal/generate/attempt.go
+++ b/internal/generate/attempt.go
@@ -139,17 +139,19 @@
 	defer stop(nil)
 	kv := run.start(pick.Server, stop)
 	number := run.log.Begin()
+	run.log.SetServer(pick.Server.ID)
 	sent := time.Now()
 	result := route.Result{Outcome: route.Failed}
 	err = r.Engine.Generate(attemptCtx, pick.Server.Addr, r.request(run, number, tokens, kv), func(chunk backend.Chunk) error {
 		if result.FirstToken == 0 {
 			result.FirstToken = time.Since(sent)
 			pick.Started()
+			r.Limits.Observe(pick.Server.ID, result.FirstToken)
 		}
-		return r.accept(run, number, chunk, &result)
+		return r.accept(attemptCtx, run, number, chunk, &result)
 	})
 	if limited {
-		r.Limits.Release(pick.Server.ID, result.FirstToken)
+		r.Limits.Release(pick.Server.ID)
 	}
 	if cause := context.Cause(attemptCtx); errors.Is(cause, errMove) && err != nil {
 		err = errMove
@@ -178,6 +180,7 @@
 	case err == nil:
 		result.Outcome = route.Succeeded
 		run.failed = nil
+		r.Health.Observe(server.ID, true)
 	case errors.Is(err, errMove), ctx.Err() != nil:
 		result.Outcome = route.Cancelled
 	case errors.Is(err, backend.ErrRefused):
@@ -185,6 +188,7 @@
 		run.failed = append(run.failed, server.ID)
 	default:
 		run.failed = append(run.failed, server.ID)
+		r.Health.Observe(server.ID, false)
 		r.Log.WithError(err).WithField("server", server.ID).Info("attempt failed")
 	}
 	pick.Done(result)
@@ -205,7 +209,9 @@
 		OutputTokens: run.req.MaxTokens,
 		Exclude:      run.failed,
 		Isolate:      isolate,
+		Prefer:       run.prefer,
 	}
+	run.prefer = ""
 	pick, err := r.Router.Pick(&req)
 	if err != nil && len(run.failed) > 0 {
 		run.failed, req.Exclude = nil, nil
@@ -239,9 +245,12 @@
 }
 
 // accept copies one chunk into the log.
-func (r *Runner) accept(run *run, attempt uint32, chunk backend.Chunk, result *route.Result) error {
+func (r *Runner) accept(ctx context.Context, run *run, attempt uint32, chunk backend.Chunk, result *route.Result) error {
 	now := time.Now()
 	if len(chunk.Tokens) > 0 {
+		if r.Config().Policy().ProgressFirst {
+			r.Progress.Confirm(ctx, run.log, attempt, chunk.Offset, chunk.Tokens)
+		}
 		if _, err := run.log.Append(attempt, chunk.Offset, chunk.Tokens, now); err != nil {
 			return err
 		}
@@ -270,6 +279,9 @@
 	run.moving = false
 	run.firstToken = time.Time{}
 	kv, run.kv = run.kv, ""
+	if run.kvAt != "" && run.kvAt != server.ID {
+		kv = "" // the cache waits on another server
+	}
 	return kv
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenlug/pollenlug/internal/dispatch"
@@ -52,6 +53,8 @@
 	purgeRows     = 256
 	// defaultMaxOpen bounds the open requests of a node; each stream takes about 32 KiB.
 	defaultMaxOpen = 20_000
+	// maxEjectedPercent bounds the servers of a group that are passed over because they fail.
+	maxEjectedPercent = 30
 	// shutdownTimeout bounds the last step of an exit.
 	shutdownTimeout = 2 * time.Second
 )
@@ -89,6 +92,7 @@
 	tracker      *servers.Tracker
 	loads        *loads
 	serverLimits *limit.ServerLimits
+	outliers     *limit.Outliers
 	logs         *stream.Store
 	replicator   *replica.Replicator
 	runner       *generate.Runner
@@ -154,9 +158,11 @@
 		Policy:        route.Policy(s.RoutingPolicy),
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
+		Seed:          xxhash.Sum64String(s.Node), // nodes must prefer different subsets of servers
 	})
 	n.guard = newGuard(n.cluster, n.metrics)
 	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: minSlots})
+	n.outliers = limit.NewOutliers(maxEjectedPercent, time.Now)
 	n.serverLimits = limit.NewServerLimits(config.DefaultFirstToken, time.Now)
 	n.loads = newLoads(n)
 	n.modelDemand = newModelDemand()
@@ -168,6 +174,7 @@
 		Router:       n.router,
 		Config:       n.Config,
 		Load:         n.loads.get,
+		Allow:        n.outliers.Allow,
 		ReadsList:    func() bool { return n.cluster.hasRole(listRole, 1) },
 		ReadsNotices: func() bool { return n.cluster.hasRole(noticeRole, noticeReaders) },
 		Gossip:       n.cluster.gossip,
@@ -197,6 +204,7 @@
 		Strikes:  n.guard,
 		Limits:   n.serverLimits,
 		Progress: progress{n},
+		Health:   n.outliers,
 		Config:   n.Config,
 		Metrics:  n.metrics,
 		Log:      n.log,
@@ -207,7 +215,7 @@
 		Member:    n.cluster.member,
 		Transport: n.transport,
 		Logs:      n.logs,
-		Run:       func(log *stream.Log) error { return n.runner.Run(log, func() {}) },
+		Run:       func(log *stream.Log, kv string) error { return n.runner.RunWith(log, kv, func() {}) },
 		Metrics:   n.metrics,
 		Log:       n.log,
 	})
@@ -219,12 +227,18 @@
 // Changed implements generate.Progress.
 func (p progress) Changed(log *stream.Log) { p.node.replicator.Changed(log) }
 
+// Confirm implements generate.Progress.
+func (p progress) Confirm(ctx context.Context, log *stream.Log, attempt, offset uint32, tokens []string) {
+	p.node.replicator.Confirm(ctx, log, attempt, offset, tokens)
+}
+
 func (n *Node) buildServices() {
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Router:  n.router,
 		Service: n.opts.Service,
 		Budget:  n.guard,
 		Strikes: n.guard,
+		Health:  n.outliers,
 		Config:  n.Config,
 		Metrics: n.metrics,
 		Log:     n.log,
@@ -367,6 +381,8 @@
 		n.exchangeDemand,
 		n.exchangeModelDemand,
 		n.runFleet,
+		n.adjustSlots,
+		n.serveProfiles,
 		n.guard.run,
 		n.purgeClaims,
 		n.shareFolderFaults,
@@ -419,10 +435,13 @@
 func (n *Node) serversChanged(list []platform.Instance) {
 	n.loads.setServers(list)
 	ids := make([]string, 0, len(list))
+	groups := map[string][]string{}
 	for _, instance := range list {
 		ids = append(ids, instance.ID)
+		groups[instance.BackendGroup] = append(groups[instance.BackendGroup], instance.ID)
 	}
 	n.serverLimits.Keep(ids)
+	n.outliers.SetServers(groups)
 }
 
 // Kill stops the node at once, as when its machine is switched off.
