--- a/internal/devcluster/fleet_test.go
+++ b/internal/devcluster/fleet_test.go
@@ -17,7 +17,7 @@
 	c := startCluster(t)
 	cloud := c.Standins.Platform.Cloud
 	cloud.Crash("assistant-6")
-	deadline := time.Now().Add(30*time.Second)
+	deadline := time.Now().Add(30 * time.Second)
 	for {
 		list, err := cloud.Instances(context.Background())
 		assert.NilError(t, err)
--- a/pkg/limit/servers.go
+++ b/pkg/limit/servers.go
@@ -40,7 +40,7 @@
 	// slowStartShare is the part of the target below which the limit doubles with each round. Engines batch, so the
 	// limit of a new server is far above initialServerLimit.
 	slowStartShare = 0.5
-	cutPause   = time.Second // between cuts, so that one slow batch counts once
+	cutPause       = time.Second // between cuts, so that one slow batch counts once
 )
 
 // NewServerLimits returns limits for servers that appear with their first request.
