--- a/internal/servers/follow.go
+++ b/internal/servers/follow.go
@@ -272,7 +272,7 @@
 	t.mu.Lock()
 	t.drains[server] = deadline
 	t.mu.Unlock()
-	t.changed()
+	t.Renew()
 }
 
 func (t *Tracker) drainOf(server string) (time.Time, bool) {
