--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/pollenlug/pollenlug/internal/fleetholder"
 	"github.com/pollenlug/pollenlug/internal/gateway"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/configstore"
@@ -29,6 +30,7 @@
 	Claims        claimStatus        `json:"non_repeatable_calls"`
 	Limits        limit.Status       `json:"limits"`
 	Quarantines   any                `json:"quarantines"`
+	Fleet         fleetholder.Status `json:"fleet"`
 }
 
 type memberStatus struct {
@@ -80,6 +82,7 @@
 		Claims:        claimStatus{claims.Open, claims.Background},
 		Limits:        n.admission.Status(),
 		Quarantines:   n.guard.status(),
+		Fleet:         n.fleet.Status(),
 	}
 }
 
