--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,9 +8,11 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/pollenlug/pollenlug/internal/fleetholder"
 	"github.com/pollenlug/pollenlug/internal/gateway"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/configstore"
+	"github.com/pollenlug/pollenlug/pkg/limit"
 	"github.com/pollenlug/pollenlug/pkg/membership"
 )
 
@@ -26,7 +28,9 @@
 	Servers       []serverStatus     `json:"servers"`
 	Responses     responseStatus     `json:"responses"`
 	Claims        claimStatus        `json:"non_repeatable_calls"`
+	Limits        limit.Status       `json:"limits"`
 	Quarantines   any                `json:"quarantines"`
+	Fleet         fleetholder.Status `json:"fleet"`
 }
 
 type memberStatus struct {
@@ -76,7 +80,9 @@
 		Servers:       n.serverStatus(),
 		Responses:     responseStatus{n.runner.Running(), n.logs.Len(), n.openRequests.Load()},
 		Claims:        claimStatus{claims.Open, claims.Background},
+		Limits:        n.admission.Status(),
 		Quarantines:   n.guard.status(),
+		Fleet:         n.fleet.Status(),
 	}
 }
 
