Announce a configuration once for all nodes, and push new items to the whole view

Cause: each node announced each version under a key of its own. At 8 nodes this used up the urgent budget after a start; at 400 nodes it would be 400 items an edit, a minute of the budget.

--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"strings"
 	"sync"
 	"time"
 
@@ -29,10 +28,11 @@
 	noticeReaders = 2
 	// purgeRole is held by the node that deletes old rows of non-repeatable calls.
 	purgeRole = "claim-purger"
-	// configKeyPrefix precedes the node in the item that announces the newest configuration it has in force. Each
-	// node writes its own item, because two nodes must not write one item with the same version.
-	configKeyPrefix = "config/"
-	versionBytes    = 8
+	// configKey is the item that announces the newest configuration in force.
+	configKey = "config/current"
+	// versionBytes and digestChars are the sizes of its parts; the node's name follows.
+	versionBytes = 8
+	digestChars  = 64
 )
 
 // errUnknownNode means that a message was meant for a node that is not in the view.
@@ -150,20 +150,34 @@
 	return answer.GetAttemptState(), err
 }
 
-// announceConfig tells the other nodes which version this node has in force.
+// announceConfig tells the other nodes of a version in force, unless they are being told already: 400 nodes that each
+// announce a version would fill the budget of gossip for a minute.
 func (c *cluster) announceConfig(version uint64, digest string) {
+	if item, ok := c.gossip.Get(configKey); ok {
+		if known, _, _ := decodeConfig(item.Value); known >= version {
+			return
+		}
+	}
 	value := binary.BigEndian.AppendUint64(nil, version)
-	c.gossip.Set(configKeyPrefix+c.self.Node, append(value, digest...), 0, true)
+	value = append(append(value, digest...), c.self.Node...)
+	c.gossip.Set(configKey, value, 0, true)
 }
 
-// watchConfig calls offer for each version that another node announces.
+// decodeConfig returns the version, its digest and the node that announced it; 0 stands for a malformed value.
+func decodeConfig(value []byte) (version uint64, digest, node string) {
+	if len(value) < versionBytes+digestChars {
+		return 0, "", ""
+	}
+	rest := string(value[versionBytes:])
+	return binary.BigEndian.Uint64(value), rest[:digestChars], rest[digestChars:]
+}
+
+// watchConfig calls offer for each version that a node announces.
 func (c *cluster) watchConfig(offer func(version uint64, digest, node string)) {
-	c.gossip.Watch(configKeyPrefix, func(item *pb.GossipItem) {
-		if len(item.Value) <= versionBytes {
-			return
+	c.gossip.Watch(configKey, func(item *pb.GossipItem) {
+		if version, digest, node := decodeConfig(item.Value); version > 0 {
+			offer(version, digest, node)
 		}
-		version := binary.BigEndian.Uint64(item.Value)
-		offer(version, string(item.Value[versionBytes:]), strings.TrimPrefix(item.Key, configKeyPrefix))
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,9 +218,7 @@
 	n.guard.hasNotice = n.tracker.HasNotice
 	n.guard.startedAt = n.loads.startedAt
 	n.config.Watch(n.applyConfig)
-	n.cluster.watchConfig(func(version uint64, digest, node string) {
-		n.config.Offer(context.Background(), version, digest, node)
-	})
+	n.cluster.watchConfig(n.heardConfig)
 	n.cluster.gossip.Watch(folderFaultKey, n.heardFolderFaults)
 	n.fleet = n.newFleet()
 	n.server = n.newServer()
@@ -466,6 +464,17 @@
 	n.log.WithFields(logrus.Fields{"version": current.Version, "digest": current.Digest}).Info("configuration is in force")
 }
 
+// heardConfig takes the announcement of a version. Of two announcements under way the one with the lower version may
+// win; a node with a higher version in force then announces its own again.
+func (n *Node) heardConfig(version uint64, digest, node string) {
+	current := n.config.Current()
+	if current != nil && current.Version > version {
+		go n.cluster.announceConfig(current.Version, current.Digest)
+		return
+	}
+	n.config.Offer(context.Background(), version, digest, node)
+}
+
 // serverLeaving moves the responses that run on a server which is to leave.
 func (n *Node) serverLeaving(server string, deadline time.Time) {
 	go n.runner.ServerLeaving(context.Background(), server, deadline)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -57,6 +57,9 @@
 
 	// DefaultFanout is the number of peers an urgent item is pushed to at once.
 	DefaultFanout = 3
+	// originFanout is the number of peers to which the writer of an urgent item pushes it: nobody else knows it yet, so
+	// no push is wasted, and in a small deployment every node hears of it at once.
+	originFanout = ownRegionView
 	// batchCopies is how often a node passes on an item that is not urgent.
 	batchCopies = 3
 	// batchPeriod is the time between two batches.
@@ -309,6 +312,9 @@
 	r := &rumor{key: item.Key, urgent: item.Urgent, left: batchCopies, due: now}
 	if item.Urgent {
 		r.left = c.cfg.Fanout
+		if from == "" {
+			r.left = max(r.left, originFanout)
+		}
 	}
 	if from != "" {
 		r.known = append(r.known, from)
