--- a/internal/adapter/wiring/wiring.go
+++ b/internal/adapter/wiring/wiring.go
@@ -13,13 +13,13 @@
 	"github.com/pollenlug/pollenlug/internal/transport"
 )
 
-// NewNode builds an entry node that uses the HTTP adapters.
-func NewNode(settings *pb.NodeSettings, credentials *transport.Credentials, log *logrus.Entry) (*node.Node, error) {
+// NewNode builds an entry node that uses the HTTP adapters. The functions in change may change its options.
+func NewNode(settings *pb.NodeSettings, credentials *transport.Credentials, log *logrus.Entry, change ...func(*node.Options)) (*node.Node, error) {
 	client, err := platformhttp.New(platformhttp.Options{BaseURL: settings.PlatformUrl})
 	if err != nil {
 		return nil, err
 	}
-	return node.New(node.Options{
+	opts := node.Options{
 		Settings: settings,
 		Platform: node.Platform{
 			Table:     client.Table(),
@@ -33,5 +33,9 @@
 		Engine:      enginehttp.New(enginehttp.Options{}),
 		Service:     servicehttp.New(servicehttp.Options{}),
 		Log:         log,
-	})
+	}
+	for _, fn := range change {
+		fn(&opts)
+	}
+	return node.New(opts)
 }
--- a/internal/devcluster/cluster.go
+++ b/internal/devcluster/cluster.go
@@ -38,6 +38,11 @@
 	Policy    string
 	Nodes     int
 	Log       *logrus.Entry
+	// Tune changes the settings of each backend server before it starts; nil leaves them as they are.
+	Tune func(*pb.StandinServer)
+	// RestartStreams makes the nodes start interrupted responses again from their first token, as the baseline of
+	// measurements.
+	RestartStreams bool
 }
 
 // Cluster is a running development cluster.
@@ -65,6 +70,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if opts.Tune != nil {
+		for _, server := range servers {
+			opts.Tune(server)
+		}
+	}
 	settings := &pb.StandinSettings{
 		Seed:         opts.Seed,
 		PlatformAddr: "127.0.0.1:0",
@@ -132,7 +142,8 @@
 	if err != nil {
 		return err
 	}
-	n, err := wiring.NewNode(settings, credentials, opts.Log.WithField("node", settings.Node))
+	restart := func(o *node.Options) { o.RestartStreams = opts.RestartStreams }
+	n, err := wiring.NewNode(settings, credentials, opts.Log.WithField("node", settings.Node), restart)
 	if err != nil {
 		return err
 	}
--- a/internal/devcluster/faults.go
+++ b/internal/devcluster/faults.go
@@ -50,6 +50,8 @@
 	Engines map[string]engine.Stats `json:"engines"`
 	// Runs counts the runs of each idempotency key, by backend server group.
 	Runs map[string]map[string]int `json:"runs"`
+	// RunCallers has the User-Agent of each of these runs, by group and key.
+	RunCallers map[string]map[string][]string `json:"run_callers"`
 	// CostMicros is the cost of all instances since their start, in millionths of the currency unit.
 	CostMicros uint64 `json:"cost_micros"`
 }
@@ -198,18 +200,23 @@
 func (s *Standins) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Stats{Engines: map[string]engine.Stats{}, Runs: map[string]map[string]int{}}
+	out := Stats{
+		Engines:    map[string]engine.Stats{},
+		Runs:       map[string]map[string]int{},
+		RunCallers: map[string]map[string][]string{},
+	}
 	for name, e := range s.engines {
 		out.Engines[name] = e.Stats()
 	}
 	for group, runLog := range s.runs {
-		runs := map[string]int{}
+		runs, callers := map[string]int{}, map[string][]string{}
 		for _, run := range runLog.All() {
 			if run.Key != "" {
 				runs[run.Key]++
+				callers[run.Key] = append(callers[run.Key], run.Caller)
 			}
 		}
-		out.Runs[group] = runs
+		out.Runs[group], out.RunCallers[group] = runs, callers
 	}
 	out.CostMicros = s.cost()
 	return out
--- a/internal/generate/attempt.go
+++ b/internal/generate/attempt.go
@@ -115,6 +115,9 @@
 		return err
 	}
 	tokens := run.log.Tokens(0)
+	if r.Restart {
+		tokens = nil
+	}
 	pick, err := r.pick(run, isolate, uint32(len(tokens)))
 	if err != nil {
 		return err
--- a/internal/generate/move.go
+++ b/internal/generate/move.go
@@ -17,6 +17,9 @@
 // ServerLeaving moves the responses that run on the server and will not finish before the deadline. It returns when
 // all have been dealt with or ctx ends. Calls for a server whose responses are being moved do nothing.
 func (r *Runner) ServerLeaving(ctx context.Context, server string, deadline time.Time) {
+	if r.Restart {
+		return
+	}
 	r.each(func(run *run) {
 		if ctx.Err() != nil || !run.beginMove(server, deadline) {
 			return
--- a/internal/generate/runner.go
+++ b/internal/generate/runner.go
@@ -99,6 +99,9 @@
 	Moves   int
 	Metrics *metrics.Set
 	Log     *logrus.Entry
+	// Restart switches moves off and starts each further attempt from the first token. The log drops the tokens that it
+	// has already. It is the baseline that measurements compare with.
+	Restart bool
 }
 
 // Runner runs the responses whose home is this node.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,8 @@
 	Engine      backend.Engine
 	Service     backend.Service
 	Log         *logrus.Entry
+	// RestartStreams starts interrupted responses again from their first token, as the baseline of measurements.
+	RestartStreams bool
 }
 
 // Node is one entry node.
@@ -177,6 +179,7 @@
 		Config:   n.Config,
 		Metrics:  n.metrics,
 		Log:      n.log,
+		Restart:  n.opts.RestartStreams,
 	})
 	n.replicator = replica.New(replica.Options{
 		Self:      n.cluster.self,
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -59,6 +59,8 @@
 	Method string `json:"method"`
 	Path   string `json:"path"`
 	Body   []byte `json:"body,omitempty"`
+	// Caller is the User-Agent of the request. A load generator names its attempt there.
+	Caller string `json:"caller,omitempty"`
 }
 
 // Echo is the answer to a call.
@@ -232,6 +234,7 @@
 		Method: r.Method,
 		Path:   r.URL.RequestURI(),
 		Body:   body,
+		Caller: r.UserAgent(),
 	})
 	if s.options.Delay > 0 {
 		delay := time.NewTimer(s.options.Delay)
