--- /dev/null
+++ b/internal/bench/faultapi.go
@@ -0,0 +1,89 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pollenlug/pollenlug/internal/devcluster"
+	"github.com/pollenlug/pollenlug/internal/standin/engine"
+)
+
+const (
+	// faultTimeout bounds one call of the fault API.
+	faultTimeout = 10 * time.Second
+	// maxStatsBytes bounds the counters, which list every key.
+	maxStatsBytes = 64 << 20
+)
+
+// stats are the counters of the stand-ins.
+type stats struct{ devcluster.Stats }
+
+func readStats(ctx context.Context, addr string) (*stats, error) {
+	out := &stats{}
+	return out, callFault(ctx, http.MethodGet, addr, "/stats", nil, &out.Stats)
+}
+
+// fault asks the fault API for a fault.
+func fault(ctx context.Context, addr, name string, req devcluster.FaultRequest) error {
+	return callFault(ctx, http.MethodPost, addr, "/faults/"+name, req, nil)
+}
+
+func callFault(ctx context.Context, method, addr, path string, req, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
+	defer cancel()
+	body, err := json.Marshal(req)
+	if err != nil {
+		return err
+	}
+	call, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(call)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxStatsBytes))
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("fault API %s: %s: %s", path, res.Status, data)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(data, answer)
+}
+
+// total sums the counters of all engines.
+func (s *stats) total() engine.Stats {
+	var out engine.Stats
+	for _, e := range s.Engines {
+		out.Runs += e.Runs
+		out.Crashes += e.Crashes
+		out.CachedTokens += e.CachedTokens
+		out.PrefilledTokens += e.PrefilledTokens
+		out.GeneratedTokens += e.GeneratedTokens
+		out.RecomputedTokens += e.RecomputedTokens
+		out.KVImports += e.KVImports
+	}
+	return out
+}
+
+// callersByKey joins the runs of all groups.
+func (s *stats) callersByKey() map[string][]string {
+	out := map[string][]string{}
+	for _, group := range s.RunCallers {
+		for key, callers := range group {
+			out[key] = append(out[key], callers...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/overhead.go
@@ -0,0 +1,228 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pollenlug/pollenlug/internal/adapter/enginehttp"
+	"github.com/pollenlug/pollenlug/pkg/backend"
+)
+
+// DefaultOverheadStreams is the number of streams that are open at the same time.
+const DefaultOverheadStreams = 500
+
+const (
+	// overheadRounds is how often both ways are measured, in turn.
+	overheadRounds = 2
+	// overheadSpread is the time over which the streams of a round start.
+	overheadSpread = 2 * time.Second
+	overheadTokens = 400
+	// overheadPatience bounds one round.
+	overheadPatience = 2 * time.Minute
+)
+
+// OverheadOptions configure the comparison of an entry node with the engines behind it.
+type OverheadOptions struct {
+	Entries, Tokens, Engines []string
+	Streams                  int
+	Seed                     uint64
+	// PID is the process of the entry node; 0 leaves out its CPU time and memory.
+	PID int
+}
+
+// Overhead is the result of the comparison. CPU and memory are those of the process PID; zero when none was given.
+type Overhead struct {
+	Streams             int       `json:"streams"`
+	NodeFirst           Quantiles `json:"node_first_token"`
+	EngineFirst         Quantiles `json:"engine_first_token"`
+	NodeBetween         Quantiles `json:"node_between_tokens"`
+	EngineBetween       Quantiles `json:"engine_between_tokens"`
+	RelayedTokens       int       `json:"relayed_tokens"`
+	Failed              int       `json:"failed"`
+	CPUMicrosPerToken   float64   `json:"cpu_us_per_token"`
+	MemoryPerStreamKiB  float64   `json:"memory_per_stream_kib"`
+	engineTokens        int
+	nodeFirst, nodeGaps *hdrhistogram.Histogram
+	first, gaps         *hdrhistogram.Histogram
+	mu                  sync.Mutex
+	idle                usage
+	peakKiB             int64
+}
+
+// WriteJSON writes the result to a file.
+func (o *Overhead) WriteJSON(path string) error { return writeJSON(path, o) }
+
+// RunOverhead sends the same requests through an entry node and straight to the engines, in turn.
+func RunOverhead(ctx context.Context, opts OverheadOptions) (*Overhead, error) {
+	if len(opts.Entries) == 0 || len(opts.Engines) == 0 || len(opts.Tokens) == 0 {
+		return nil, errors.New("bench: --overhead needs --entry, --engine and --token")
+	}
+	out := &Overhead{Streams: opts.Streams, nodeFirst: newHistogram(), nodeGaps: newHistogram(), first: newHistogram(), gaps: newHistogram()}
+	cpu := 0.0
+	for round := range overheadRounds {
+		src := overheadSource(opts, round)
+		before, err := out.usage(opts.PID)
+		if err != nil {
+			return nil, err
+		}
+		if round == 0 {
+			out.idle = before
+		}
+		out.throughNode(ctx, opts, src)
+		after, err := out.usage(opts.PID)
+		if err != nil {
+			return nil, err
+		}
+		cpu += after.cpuSeconds - before.cpuSeconds
+		out.straight(ctx, opts, overheadSource(opts, round))
+	}
+	out.NodeFirst, out.NodeBetween = quantiles(out.nodeFirst), quantiles(out.nodeGaps)
+	out.EngineFirst, out.EngineBetween = quantiles(out.first), quantiles(out.gaps)
+	if opts.PID != 0 && out.RelayedTokens > 0 {
+		out.CPUMicrosPerToken = cpu * 1e6 / float64(out.RelayedTokens)
+		out.MemoryPerStreamKiB = float64(out.peakKiB-out.idle.residentKiB) / float64(opts.Streams)
+	}
+	return out, nil
+}
+
+// overheadSource gives the same requests for both ways, and others in each round, so that neither finds the prompts of
+// the other in a cache more often.
+func overheadSource(opts OverheadOptions, round int) *source {
+	src, _ := newSource(Options{Mix: Oleaje, Seed: opts.Seed + uint64(round), Tokens: opts.Tokens}, "")
+	src.length = overheadTokens
+	return src
+}
+
+// each starts one function per stream, spread over the start window, and waits for all.
+func (o *Overhead) each(ctx context.Context, opts OverheadOptions, src *source, run func(context.Context, int, *request)) {
+	ctx, cancel := context.WithTimeout(ctx, overheadPatience)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range opts.Streams {
+		r := src.short("quote", kindStream, overheadTokens, overheadTokens+1)
+		wg.Go(func() {
+			pause(ctx, overheadSpread*time.Duration(i)/time.Duration(opts.Streams))
+			run(ctx, i, &r)
+		})
+	}
+	wg.Wait()
+}
+
+func (o *Overhead) throughNode(ctx context.Context, opts OverheadOptions, src *source) {
+	rec := newRecorder()
+	caller := newCaller(opts.Entries[:1], 0, rec)
+	defer caller.close()
+	// The load goes to the stated node and to no other that it may name.
+	caller.entries, caller.expires = opts.Entries[:1], time.Now().Add(time.Hour)
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	go o.watchMemory(watching, opts.PID)
+	o.each(ctx, opts, src, func(ctx context.Context, _ int, r *request) { caller.run(ctx, r, time.Now()) })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range rec.classes {
+		o.nodeFirst.Merge(c.first)
+		o.nodeGaps.Merge(c.gaps)
+		o.Failed += c.requests - c.exact
+	}
+	o.RelayedTokens += rec.received
+}
+
+func (o *Overhead) straight(ctx context.Context, opts OverheadOptions, src *source) {
+	client := enginehttp.New(enginehttp.Options{})
+	o.each(ctx, opts, src, func(ctx context.Context, i int, r *request) {
+		addr := opts.Engines[i%len(opts.Engines)]
+		begin := time.Now()
+		var last time.Time
+		err := client.Generate(ctx, addr, o.engineRequest(i, r), func(chunk backend.Chunk) error {
+			if len(chunk.Tokens) > 0 {
+				o.engineToken(begin, &last, len(chunk.Tokens))
+			}
+			return nil
+		})
+		if err != nil {
+			o.mu.Lock()
+			o.Failed++
+			o.mu.Unlock()
+		}
+	})
+}
+
+func (o *Overhead) engineRequest(i int, r *request) backend.GenerateRequest {
+	return backend.GenerateRequest{
+		ID:        fmt.Sprintf("overhead-%d-%d", i, time.Now().UnixNano()),
+		Attempt:   1,
+		Model:     smallModel,
+		Prompt:    fmt.Sprintf("user: %s", r.body),
+		MaxTokens: overheadTokens,
+		Seed:      uint64(i),
+	}
+}
+
+func (o *Overhead) engineToken(begin time.Time, last *time.Time, tokens int) {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.engineTokens += tokens
+	if last.IsZero() {
+		record(o.first, now.Sub(begin))
+	} else {
+		record(o.gaps, now.Sub(*last))
+	}
+	*last = now
+}
+
+// Print writes the result as text.
+func (o *Overhead) Print(out io.Writer) {
+	line := func(name string, node, engine Quantiles) {
+		fmt.Fprintf(out, "%s ms: node p50 %.2f p95 %.2f p99 %.2f, engine p50 %.2f p95 %.2f p99 %.2f, difference p50 %.2f p95 %.2f\n",
+			name, node.P50, node.P95, node.P99, engine.P50, engine.P95, engine.P99, node.P50-engine.P50, node.P95-engine.P95)
+	}
+	line("first token", o.NodeFirst, o.EngineFirst)
+	line("between tokens", o.NodeBetween, o.EngineBetween)
+	fmt.Fprintf(out, "streams %d, relayed tokens %d, failed %d, CPU per relayed token %.2f us, memory per open stream %.1f KiB\n",
+		o.Streams, o.RelayedTokens, o.Failed, o.CPUMicrosPerToken, o.MemoryPerStreamKiB)
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	cpuSeconds  float64
+	residentKiB int64
+}
+
+// ticksPerSecond is the unit of CPU times in /proc on Linux.
+const ticksPerSecond = 100
+
+// usage reads the CPU time and the resident memory of a process from /proc.
+func (o *Overhead) usage(pid int) (usage, error) {
+	if pid == 0 {
+		return usage{}, nil
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return usage{}, err
+	}
+	return parseStat(string(data))
+}
+
+// watchMemory keeps the highest resident memory.
+func (o *Overhead) watchMemory(ctx context.Context, pid int) {
+	const interval = 200 * time.Millisecond
+	for ; ctx.Err() == nil; pause(ctx, interval) {
+		current, err := o.usage(pid)
+		if err != nil || pid == 0 {
+			return
+		}
+		o.mu.Lock()
+		o.peakKiB = int64(math.Max(float64(o.peakKiB), float64(current.residentKiB)))
+		o.mu.Unlock()
+	}
+}
