--- a/internal/bench/do.go
+++ b/internal/bench/do.go
@@ -65,8 +65,8 @@
 	if r.key != "" {
 		header.Set("Idempotency-Key", r.key)
 	}
-	sent := time.Now()
 	addr := c.entry(ctx, number)
+	sent := time.Now()
 	res, addr, err := c.send(ctx, r, addr, r.path, header)
 	if err != nil {
 		c.broken(out, r, agent)
