--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -35,7 +35,10 @@
 	w.Header().Set(HeaderRequestID, meta.ID)
 	var err error
 	if a.request.Stream {
-		err = g.writeStream(ctx, w, a)
+		if g.writeStream(ctx, w, a) != nil {
+			// The headers are sent; an error returned from here would be written into the stream.
+			g.Metrics.Refusal(code.CallerGone)
+		}
 	} else {
 		err = g.writeWhole(ctx, w, a)
 	}
@@ -83,7 +86,11 @@
 
 // endError returns the error that a response ended with. Generation started, so the request ran.
 func endError(end stream.End) *code.Error {
-	return code.New(end.Code, "the response could not be completed").WithRan(code.RanYes).After(time.Second)
+	e := code.New(end.Code, "the response could not be completed").WithRan(code.RanYes)
+	if end.Code == code.RequestQuarantined {
+		return e // a retry is refused as well
+	}
+	return e.After(time.Second)
 }
 
 // writeStream sends the response as server-sent events from the answer's offset on.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/pollenlug/pollenlug/internal/transport"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 	"github.com/pollenlug/pollenlug/pkg/claim"
+	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/configstore"
 	"github.com/pollenlug/pollenlug/pkg/limit"
@@ -45,6 +46,13 @@
 	bytesPerKiB           = 1024
 	// expireInterval is how often old responses are dropped.
 	expireInterval = 10 * time.Second
+	// purgeInterval and purgeRows bound what the deletion of old claims costs the table service: 0.2 reads a second.
+	purgeInterval = 5 * time.Second
+	purgeRows     = 256
+	// defaultMaxOpen bounds the open requests of a node; each stream takes about 32 KiB.
+	defaultMaxOpen = 20_000
+	// maxEjectedPercent bounds the servers of a group that are passed over because they fail.
+	maxEjectedPercent = 30
 	// shutdownTimeout bounds the last step of an exit.
 	shutdownTimeout = 2 * time.Second
 )
@@ -77,21 +85,24 @@
 	log     *logrus.Entry
 	metrics *metrics.Set
 
-	transport  *transport.Transport
-	cluster    *cluster
-	config     *configstore.Store
-	router     *route.Router
-	tracker    *servers.Tracker
-	loads      *loadPoller
-	logs       *stream.Store
-	replicator *replica.Replicator
-	runner     *generate.Runner
-	claims     *claim.Claims
-	dispatcher *dispatch.Dispatcher
-	admission  *limit.Admission
-	guard      *guard
-	server     *http.Server
+	transport    *transport.Transport
+	cluster      *cluster
+	config       *configstore.Store
+	router       *route.Router
+	tracker      *servers.Tracker
+	loads        *loads
+	serverLimits *limit.ServerLimits
+	outliers     *limit.Outliers
+	logs         *stream.Store
+	replicator   *replica.Replicator
+	runner       *generate.Runner
+	claims       *claim.Claims
+	dispatcher   *dispatch.Dispatcher
+	admission    *limit.Admission
+	guard        *guard
+	server       *http.Server
 
+	folderFaults atomic.Pointer[folderFaults]
 	leaving      atomic.Bool
 	drained      chan struct{}
 	openRequests atomic.Int64
@@ -146,26 +157,37 @@
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
 	})
-	n.guard = newGuard(n.metrics)
-	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: defaultConcurrency})
-	n.loads = newLoadPoller(n.opts.Engine, n.opts.Service, n.router)
+	n.guard = newGuard(n.cluster, n.metrics)
+	n.admission = limit.NewAdmission(limit.Options{Node: s.Node, Concurrency: minSlots})
+	n.outliers = limit.NewOutliers(maxEjectedPercent, time.Now)
+	n.serverLimits = limit.NewServerLimits(config.DefaultFirstToken, time.Now)
+	n.loads = newLoads(n)
 	n.buildResponses()
 	n.buildServices()
 	n.tracker = servers.New(servers.Options{
-		Instances:   p.Instances,
-		Cloud:       p.Cloud,
-		Router:      n.router,
-		Config:      n.Config,
-		Load:        n.loads.get,
-		Leaving:     n.serverLeaving,
-		Self:        s.Node,
-		SelfLeaving: func(deadline time.Time) { n.reclaimed <- deadline },
-		Log:         n.log,
+		Instances:    p.Instances,
+		Cloud:        p.Cloud,
+		Router:       n.router,
+		Config:       n.Config,
+		Load:         n.loads.get,
+		Allow:        n.outliers.Allow,
+		ReadsList:    func() bool { return n.cluster.hasRole(listRole, 1) },
+		ReadsNotices: func() bool { return n.cluster.hasRole(noticeRole, noticeReaders) },
+		Gossip:       n.cluster.gossip,
+		Leaving:      n.serverLeaving,
+		Changed:      n.serversChanged,
+		Self:         s.Node,
+		SelfLeaving:  func(deadline time.Time) { n.reclaimed <- deadline },
+		Log:          n.log,
 	})
+	n.guard.load = loadOf(n.opts.Engine, n.opts.Service, n.tracker.Instance)
+	n.guard.hasNotice = n.tracker.HasNotice
+	n.guard.startedAt = n.loads.startedAt
 	n.config.Watch(n.applyConfig)
 	n.cluster.watchConfig(func(version uint64, digest, node string) {
 		n.config.Offer(context.Background(), version, digest, node)
 	})
+	n.cluster.gossip.Watch(folderFaultKey, n.heardFolderFaults)
 	n.server = n.newServer()
 }
 
@@ -175,7 +197,9 @@
 		Engine:   n.opts.Engine,
 		Budget:   n.guard,
 		Strikes:  n.guard,
+		Limits:   n.serverLimits,
 		Progress: progress{n},
+		Health:   n.outliers,
 		Config:   n.Config,
 		Metrics:  n.metrics,
 		Log:      n.log,
@@ -187,7 +211,7 @@
 		Member:    n.cluster.member,
 		Transport: n.transport,
 		Logs:      n.logs,
-		Run:       func(log *stream.Log) error { return n.runner.Run(log, func() {}) },
+		Run:       func(log *stream.Log, kv string) error { return n.runner.RunWith(log, kv, func() {}) },
 		Metrics:   n.metrics,
 		Log:       n.log,
 	})
@@ -199,11 +223,18 @@
 // Changed implements generate.Progress.
 func (p progress) Changed(log *stream.Log) { p.node.replicator.Changed(log) }
 
+// Confirm implements generate.Progress.
+func (p progress) Confirm(ctx context.Context, log *stream.Log, attempt, offset uint32, tokens []string) {
+	p.node.replicator.Confirm(ctx, log, attempt, offset, tokens)
+}
+
 func (n *Node) buildServices() {
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Router:  n.router,
 		Service: n.opts.Service,
 		Budget:  n.guard,
+		Strikes: n.guard,
+		Health:  n.outliers,
 		Config:  n.Config,
 		Metrics: n.metrics,
 		Log:     n.log,
@@ -222,13 +253,14 @@
 	handler := gateway.New(gateway.Options{
 		Node: n,
 		Responses: &responses{
-			node:       n.opts.Settings.Node,
-			leaving:    n.leaving.Load,
-			strikes:    n.guard,
-			admission:  n.admission,
-			logs:       n.logs,
-			replicator: n.replicator,
-			runner:     n.runner,
+			node:         n.opts.Settings.Node,
+			leaving:      n.leaving.Load,
+			strikes:      n.guard,
+			countRequest: n.guard.Request,
+			admission:    n.admission,
+			logs:         n.logs,
+			replicator:   n.replicator,
+			runner:       n.runner,
 		},
 		Services: n.dispatcher,
 		Metrics:  n.metrics,
@@ -249,11 +281,19 @@
 	return out
 }
 
-// countOpen counts open requests; a drain waits for them.
+// countOpen counts open requests, for which a drain waits, and refuses those above the limit.
 func (n *Node) countOpen(next http.Handler) http.Handler {
+	limit := int64(defaultMaxOpen)
+	if set := n.opts.Settings.Edge.GetMaxOpenStreams(); set > 0 {
+		limit = int64(set)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.openRequests.Add(1)
 		defer n.openRequests.Add(-1)
+		if n.openRequests.Add(1) > limit {
+			e := code.New(code.QueueFull, "the entry node has too many open requests").After(time.Second)
+			gateway.Refuse(w, n.metrics, e)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -334,11 +374,27 @@
 		func(ctx context.Context) { n.loads.run(ctx, n.tracker.List) },
 		n.expire,
 		n.exchangeDemand,
+		n.guard.run,
+		n.purgeClaims,
+		n.shareFolderFaults,
 	} {
 		wg.Go(func() { run(ctx) })
 	}
 }
 
+// purgeClaims deletes old rows of non-repeatable calls while this node has that role.
+func (n *Node) purgeClaims(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, purgeInterval)
+		if !n.cluster.hasRole(purgeRole, 1) {
+			continue
+		}
+		if _, err := n.claims.Purge(ctx, purgeRows); err != nil {
+			n.log.WithError(err).Debug("old rows of non-repeatable calls cannot be deleted now")
+		}
+	}
+}
+
 // expire drops old responses.
 func (n *Node) expire(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -354,6 +410,8 @@
 	policy := current.Index.Policy()
 	n.router.SetTargets(policy.FirstToken, policy.BetweenTokens, policy.RecomputeWeight)
 	n.guard.setPolicy(policy)
+	n.claims.SetRetention(policy.OutcomeRetention)
+	n.serverLimits.SetTarget(policy.FirstToken)
 	setWorkspaces(n.admission, current.Index)
 	n.cluster.announceConfig(current.Version, current.Digest)
 	n.log.WithFields(logrus.Fields{"version": current.Version, "digest": current.Digest}).Info("configuration is in force")
@@ -361,10 +419,22 @@
 
 // serverLeaving moves the responses that run on a server which is to leave.
 func (n *Node) serverLeaving(server string, deadline time.Time) {
-	n.guard.expectLoss(server)
 	go n.runner.ServerLeaving(context.Background(), server, deadline)
 }
 
+// serversChanged tells the other parts which servers there are.
+func (n *Node) serversChanged(list []platform.Instance) {
+	n.loads.setServers(list)
+	ids := make([]string, 0, len(list))
+	groups := map[string][]string{}
+	for _, instance := range list {
+		ids = append(ids, instance.ID)
+		groups[instance.BackendGroup] = append(groups[instance.BackendGroup], instance.ID)
+	}
+	n.serverLimits.Keep(ids)
+	n.outliers.SetServers(groups)
+}
+
 // Kill stops the node at once, as when its machine is switched off.
 func (n *Node) Kill() {
 	n.killOnce.Do(func() {
@@ -392,6 +462,11 @@
 		state := n.claims.Query(q.Workspace, q.Key, q.Attempt)
 		return &pb.Envelope{Body: &pb.Envelope_AttemptState{AttemptState: state}}, nil
 	}
+	switch env.Body.(type) {
+	case *pb.Envelope_LoadDigest, *pb.Envelope_LoadDelta:
+		n.loads.view.Receive(from, env)
+		return &pb.Envelope{Body: &pb.Envelope_Ack{Ack: &pb.Ack{}}}, nil
+	}
 	if answer := n.replicator.Handle(ctx, from, env); answer != nil {
 		return answer, nil
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -21,6 +21,7 @@
 	State         string             `json:"state"`
 	Waiting       []string           `json:"waiting_for,omitempty"`
 	Config        configstore.Status `json:"config"`
+	FolderFaults  *folderFaults      `json:"folder_faults,omitempty"`
 	Members       []memberStatus     `json:"members"`
 	Servers       []serverStatus     `json:"servers"`
 	Responses     responseStatus     `json:"responses"`
@@ -70,6 +71,7 @@
 		State:         n.state(),
 		Waiting:       n.waitingFor(),
 		Config:        n.config.Status(),
+		FolderFaults:  n.openFolderFaults(),
 		Members:       n.memberStatus(),
 		Servers:       n.serverStatus(),
 		Responses:     responseStatus{n.runner.Running(), n.logs.Len(), n.openRequests.Load()},
@@ -120,9 +122,9 @@
 			Reclaimable:   instance.Reclaimable,
 			LoadAgeMs:     -1,
 		}
-		if load, at, ok := n.loads.get(instance.ID); ok {
+		if load, ok := n.loads.get(instance.ID); ok {
 			line.Running, line.Waiting, line.CachePercent = load.Running, load.Waiting, load.CachePercent
-			line.LoadAgeMs = time.Since(at).Milliseconds()
+			line.LoadAgeMs = time.Since(load.At).Milliseconds()
 		}
 		out = append(out, line)
 	}
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -35,13 +35,15 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"hash/maphash"
 	mathrand "math/rand/v2"
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/platform"
@@ -184,10 +186,11 @@
 type Claims struct {
 	o     Options
 	group *grouper
-	seed  maphash.Seed
 	// shards hold the attempts by row key.
 	shards [shardCount]shard
 	open   counter
+	// retention is how long rows are kept, in nanoseconds.
+	retention atomic.Int64
 	// background counts the background writes among the open ones.
 	background counter
 	// purgeAfter is the last key that Purge has seen.
@@ -198,7 +201,8 @@
 // New returns Claims without open attempts.
 func New(o Options) *Claims {
 	o.setDefaults()
-	c := &Claims{o: o, seed: maphash.MakeSeed()}
+	c := &Claims{o: o}
+	c.retention.Store(int64(o.Retention))
 	c.group = &grouper{table: o.Table, wait: o.GroupWait, rows: o.GroupRows, timeout: o.StoreTimeout}
 	for i := range c.shards {
 		c.shards[i].entries = map[string]*entry{}
@@ -213,7 +217,7 @@
 }
 
 func (c *Claims) shard(key string) *shard {
-	return &c.shards[maphash.String(c.seed, key)%shardCount]
+	return &c.shards[xxhash.Sum64String(key)%shardCount]
 }
 
 // Do runs the call unless it has run already, and returns its outcome. A call with the key of an attempt that is
@@ -309,6 +313,17 @@
 	return &pb.AttemptState{State: pb.AttemptState_RUNNING}
 }
 
+// SetRetention changes how long rows that are written from now on are kept.
+func (c *Claims) SetRetention(d time.Duration) {
+	if d > 0 {
+		c.retention.Store(int64(d))
+	}
+}
+
+func (c *Claims) expiry() uint64 {
+	return uint64(c.o.Now().Add(time.Duration(c.retention.Load())).UnixMilli())
+}
+
 // Stats are current numbers.
 type Stats struct {
 	// Open counts attempts that run and background writes.
--- a/pkg/claim/random_test.go
+++ b/pkg/claim/random_test.go
@@ -85,7 +85,8 @@
 	if rapid.IntRange(0, 9).Draw(t, "digest") == 0 {
 		c.digest = 1
 	}
-	c.timeout = time.Duration(rapid.SampledFrom([]int{5, 50, 400, 60_000}).Draw(t, "timeout")) * time.Millisecond
+	// No timeout ends at the same time as a group or a retry, so that the scheduler does not decide between them.
+	c.timeout = time.Duration(rapid.SampledFrom([]int{5_003, 50_007, 400_011, 60_000_013}).Draw(t, "timeout")) * time.Microsecond
 	c.behaviour = rapid.SampledFrom([]behaviour{
 		{}, {delay: time.Millisecond}, {delay: 300 * time.Millisecond}, {delay: 40 * time.Second},
 		{unsent: true}, {unsent: true}, {lostCall: true}, {lostAnswer: true},
@@ -99,7 +100,7 @@
 	{MinLatency: time.Millisecond, MaxLatency: 30 * time.Millisecond, LostPercent: 30, StalePercent: 50, MaxStale: 4 * time.Second},
 	{MinLatency: time.Millisecond, MaxLatency: 9 * time.Millisecond, LatePercent: 40, MaxLate: 20 * time.Second, StalePercent: 30, MaxStale: 4 * time.Second},
 	{MinLatency: time.Millisecond, MaxLatency: 600 * time.Millisecond},
-	{LostPercent: 40, LostHangs: true, LatePercent: 20, MaxLate: time.Minute},
+	{MinLatency: time.Microsecond, MaxLatency: time.Millisecond, LostPercent: 40, LostHangs: true, LatePercent: 20, MaxLate: time.Minute},
 	{Outage: table.Refusing},
 	{Outage: table.Hanging},
 }
@@ -213,16 +214,19 @@
 	c := newCluster(p.seed, planNodes)
 	c.service.queryable = p.queryable
 	live := append([]*testNode(nil), c.nodes...)
+	for _, n := range live {
+		n.store.SetFaults(storeFaults[0])
+	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var rechecks []func()
-	for _, s := range p.steps {
+	for step, s := range p.steps {
 		applyFault(c, live, s)
 		for i, pc := range s.calls {
 			n := live[pc.node]
 			wg.Go(func() {
 				// Calls of one step begin at distinct times, so that their order does not depend on the scheduler.
-				time.Sleep(time.Duration(i)*1300*time.Microsecond + time.Duration(pc.key)*time.Nanosecond)
+				time.Sleep(time.Duration(i)*1300*time.Microsecond + time.Duration(step*callsPerStep+i)*101*time.Nanosecond)
 				recheck := h.call(c, n, fmt.Sprint("key-", pc.key), pc)
 				mu.Lock()
 				defer mu.Unlock()
@@ -258,6 +262,7 @@
 		n.set(true, true)
 		n.store.SetFaults(table.Faults{Outage: table.Refusing})
 		live[s.node] = c.start()
+		live[s.node].store.SetFaults(storeFaults[0])
 	default:
 		n.store.SetFaults(storeFaults[s.fault])
 	}
@@ -276,7 +281,7 @@
 func (c *cluster) checkEnd(h *history, live []*testNode) {
 	for _, n := range live {
 		n.set(false, false)
-		n.store.SetFaults(table.Faults{})
+		n.store.SetFaults(storeFaults[0])
 	}
 	time.Sleep(2 * time.Minute)
 	for _, n := range live {
