--- a/internal/bench/faultapi.go
+++ b/internal/bench/faultapi.go
@@ -28,11 +28,6 @@
 	return out, callFault(ctx, http.MethodGet, addr, "/stats", nil, &out.Stats)
 }
 
-// fault asks the fault API for a fault.
-func fault(ctx context.Context, addr, name string, req devcluster.FaultRequest) error {
-	return callFault(ctx, http.MethodPost, addr, "/faults/"+name, req, nil)
-}
-
 func callFault(ctx context.Context, method, addr, path string, req, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
 	defer cancel()
--- a/internal/bench/faultscenarios.go
+++ b/internal/bench/faultscenarios.go
@@ -85,6 +85,9 @@
 		return nil, err
 	}
 	report.Figures["servers_silenced"] = float64(silenced)
+	report.Figures["not_accepted"] = float64(report.Requests - report.Accepted)
+	report.Figures["lookup_max_ms"] = report.Classes["history-lookup"].FirstToken.Max
+	report.Figures["unknown_outcome_max_ms"] = report.RefusalTimes["outcome_unknown"].Max
 	return report, nil
 }
 
