--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := src.chooseModels(ctx, opts); err != nil {
+		return nil, err
+	}
 	run := &loadRun{opts: opts, rec: newRecorder(), begun: time.Now(), done: make(chan struct{})}
 	if opts.Fault != "" {
 		if run.before, err = readStats(ctx, opts.Fault); err != nil {
--- a/internal/bench/mix.go
+++ b/internal/bench/mix.go
@@ -80,6 +80,8 @@
 	run    string // keeps the keys of two runs apart
 	count  int
 	length int // fixed length of streamed answers; 0 leaves it to the class
+	small  string
+	large  string
 }
 
 func newSource(opts Options, run string) (*source, error) {
@@ -93,6 +95,8 @@
 		tokens: opts.Tokens,
 		run:    run,
 		length: opts.LongAnswers,
+		small:  smallModel,
+		large:  largeModel,
 	}, nil
 }
 
@@ -119,13 +123,13 @@
 	w := s.workspace()
 	template := s.random.IntN(templatesPerWorkspace)
 	prompt := fmt.Sprintf("%s\nNumber %d: write the %s.", prefix(w, template), s.random.IntN(1<<30), name)
-	return s.generation(name, kindStream, largeModel, w, prompt, s.between(low, high))
+	return s.generation(name, kindStream, s.large, w, prompt, s.between(low, high))
 }
 
 func (s *source) short(name string, kind, low, high int) request {
 	w := s.workspace()
 	prompt := fmt.Sprintf("Workspace %d, %s: ding of %d mm near the fin box, board %d.", w, name, s.between(5, 90), s.random.IntN(1<<30))
-	return s.generation(name, kind, smallModel, w, prompt, s.between(low, high))
+	return s.generation(name, kind, s.small, w, prompt, s.between(low, high))
 }
 
 func (s *source) generation(name string, kind int, model string, workspace int, prompt string, length int) request {
@@ -141,8 +145,10 @@
 		"stream":     kind == kindStream,
 	})
 	out := request{kind: kind, class: name, token: s.tokens[workspace], method: http.MethodPost, path: "/v1/chat/completions", body: body}
+	base, adapter, _ := strings.Cut(model, ":")
 	out.asked = backend.GenerateRequest{
-		Model:     model,
+		Model:     base,
+		Adapter:   adapter,
 		Prompt:    "user: " + prompt + "\n",
 		Seed:      seed,
 		MaxTokens: uint32(length),
