--- a/internal/bench/sweep.go
+++ b/internal/bench/sweep.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -63,9 +64,10 @@
 // WriteJSON writes all reports to a file.
 func (s *Sweep) WriteJSON(path string) error { return writeJSON(path, s) }
 
-// RunSweep runs both mixes at 50, 80 and 100% of capacity with each policy and prints a table. The fleet is the same in
+// RunSweep runs both mixes at 50, 80 and 100% of capacity with each policy and prints a table on out, and a line for each
+// run on progress. The fleet is the same in
 // all runs, so its cost per token differs only by the tokens that arrive.
-func RunSweep(ctx context.Context, opts SweepOptions, out io.Writer) (*Sweep, error) {
+func RunSweep(ctx context.Context, opts SweepOptions, out, progress io.Writer) (*Sweep, error) {
 	sweep := &Sweep{}
 	for _, mix := range []string{Windwijzer, Oleaje} {
 		for _, load := range sweepLoads {
@@ -75,6 +77,7 @@
 					return nil, err
 				}
 				sweep.Runs = append(sweep.Runs, *run)
+				fmt.Fprintf(progress, "%d%% %s: %s\n", run.Percent, run.Policy, run.Report.Line())
 			}
 		}
 	}
@@ -92,6 +95,9 @@
 		return nil, err
 	}
 	defer l.stop()
+	if err := l.stateBatch(ctx); err != nil {
+		return nil, err
+	}
 	o := l.load(mix, 0, opts.Duration, opts.Seed)
 	if mix == Windwijzer {
 		o.LongAnswers = sweepAnswer
@@ -107,6 +113,34 @@
 	return &SweepRun{string(policy), int(load * 100), first, between, report}, nil
 }
 
+// sweepGroup tells the router how many requests the engines of the sweep run at a time.
+const sweepGroup = `{"backend_groups":[{"name":"assistant","override":true,"kind":"MODEL_ENGINE","checks_fencing":true,` +
+	`"instance_classes":["gpu"],"min_servers":1,"concurrency":%d}]}`
+
+// sweepConfigWait is how long the nodes may take to put the edited folder into force.
+const sweepConfigWait = 3 * time.Second
+
+// stateBatch edits the folder, so that it states the batch size of the engines.
+func (l *lab) stateBatch(ctx context.Context) error {
+	req := devcluster.FaultRequest{File: "25-sweep.json", Content: fmt.Sprintf(sweepGroup, sweepBatch)}
+	if err := callFault(ctx, http.MethodPost, l.fault, "/folder", req, nil); err != nil {
+		return err
+	}
+	pause(ctx, sweepConfigWait)
+	return l.checkBatch()
+}
+
+// checkBatch makes sure that the edit is in force on every node.
+func (l *lab) checkBatch() error {
+	for i := range labNodes {
+		group, ok := l.cluster.Node(i).Config().Group("assistant")
+		if !ok || group.Concurrency != sweepBatch {
+			return fmt.Errorf("bench: entry node %d has not put the batch size into force", i+1)
+		}
+	}
+	return nil
+}
+
 // streams merges the latencies of all classes that generate tokens.
 func (r *recorder) streams() (first, between Quantiles) {
 	r.mu.Lock()
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -173,7 +173,7 @@
 
 func (f *benchFlags) runSweep(ctx context.Context, stdout, stderr io.Writer) int {
 	f.sweep.Seed, f.sweep.Duration = f.load.Seed, f.load.Duration
-	rows, err := bench.RunSweep(ctx, f.sweep, stdout)
+	rows, err := bench.RunSweep(ctx, f.sweep, stdout, stderr)
 	if err != nil {
 		return fail(stderr, err)
 	}
