--- a/internal/bench/sweep.go
+++ b/internal/bench/sweep.go
@@ -37,7 +37,8 @@
 
 var (
 	sweepPolicies = []route.Policy{route.RoundRobin, route.LeastLoaded, route.PrefixOnly, route.CostAware}
-	sweepLoads    = []float64{0.5, 0.8, 1}
+	// SweepLoads are the loads of a whole sweep, in percent of capacity.
+	SweepLoads = []int{50, 80, 100}
 )
 
 // SweepOptions configure a sweep over the routing policies.
@@ -45,6 +46,8 @@
 	Seed uint64
 	// Duration is the length of each run.
 	Duration time.Duration
+	// Loads are in percent of capacity; empty means SweepLoads.
+	Loads []int
 }
 
 // Sweep has the reports of a sweep, in the order of the runs.
@@ -69,8 +72,11 @@
 // all runs, so its cost per token differs only by the tokens that arrive.
 func RunSweep(ctx context.Context, opts SweepOptions, out, progress io.Writer) (*Sweep, error) {
 	sweep := &Sweep{}
+	if len(opts.Loads) == 0 {
+		opts.Loads = SweepLoads
+	}
 	for _, mix := range []string{Windwijzer, Oleaje} {
-		for _, load := range sweepLoads {
+		for _, load := range opts.Loads {
 			for _, policy := range sweepPolicies {
 				run, err := sweepOnce(ctx, opts, mix, load, policy)
 				if err != nil {
@@ -85,7 +91,7 @@
 	return sweep, nil
 }
 
-func sweepOnce(ctx context.Context, opts SweepOptions, mix string, load float64, policy route.Policy) (*SweepRun, error) {
+func sweepOnce(ctx context.Context, opts SweepOptions, mix string, percent int, policy route.Policy) (*SweepRun, error) {
 	l, err := startLab(devcluster.Options{
 		Seed:   opts.Seed,
 		Policy: string(policy),
@@ -102,7 +108,7 @@
 	if mix == Windwijzer {
 		o.LongAnswers = sweepAnswer
 	}
-	o.Rate = load * capacity(o)
+	o.Rate = float64(percent) / 100 * capacity(o)
 	o.Patience = sweepPatience
 	run, report, err := l.play(ctx, o, nil)
 	if err != nil {
@@ -110,7 +116,7 @@
 	}
 	report.Name, report.Policy = "sweep", string(policy)
 	first, between := run.rec.streams()
-	return &SweepRun{string(policy), int(load * 100), first, between, report}, nil
+	return &SweepRun{string(policy), percent, first, between, report}, nil
 }
 
 // sweepGroup tells the router how many requests the engines of the sweep run at a time.
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -76,6 +76,7 @@
 	c.Int(&f.overhead.Streams, "", "streams", "For --overhead: open streams.")
 	c.Int(&f.overhead.PID, "", "node-pid", "For --overhead: process id of the entry node, for its CPU time and memory.")
 	c.Bool(&f.policies, "", "policy", "Runs both mixes at 50, 80 and 100% of capacity with each routing policy.")
+	c.IntSlice(&f.sweep.Loads, "", "load", "For --policy: load in percent of capacity; may be repeated.")
 	c.AddPositionalValue(&f.first, "A", 1, false, "Report for --compare.")
 	c.AddPositionalValue(&f.second, "B", 2, false, "Report for --compare.")
 }
