--- a/internal/node/config_session_test.go
+++ b/internal/node/config_session_test.go
@@ -115,7 +115,7 @@
 	inCluster(t, clusterOptions{Nodes: 8}, func(t *testing.T, c *cluster) {
 		s := &transcript{t: t}
 		decreased := c.watchVersions()
-		s.step("two operators edit at the same time, one of them through a stale reader")
+		s.step("two operators edit at the same time")
 		first := c.folder.EditFile("91-operator.json", workspaceFile("operator-a"))
 		second := c.folder.EditFile("91-operator.json", workspaceFile("operator-bb"))
 		_, ok := c.awaitRevision(second, 17*time.Second, c.nodes...)
