Copy no KV cache for a handover that cannot happen; keep exact loads exact

Cause: a leaving node asks every 20 ms for the handover of what is left, and each time had the server copy the KV cache, also when no node could take the response or one had it already. The new test counts 1 copy where there should be none without the change. The list renewal replaced the exact load of a polled server by its quantized one. Also: a wrapper without effect is gone, and pages say which figures are older than the present push of urgent items.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,13 +119,13 @@
 func New(opts Options) http.Handler {
 	g := &gateway{opts}
 	mux := http.NewServeMux()
-	g.handle(mux, "POST "+openai.ChatPath, g.work(g.server(g.generate, g.decodeGeneration, g.encodeGeneration)))
-	g.handle(mux, "POST "+openai.CompletionPath, g.work(g.server(g.generate, g.decodeGeneration, g.encodeGeneration)))
-	g.handle(mux, "GET /v1/models", g.server(g.models, g.decodeWorkspace, g.encodeBody))
-	g.handle(mux, "GET /v1/responses/{id}", g.server(g.resume, g.decodeResume, g.encodeGeneration))
-	g.handle(mux, "/s/{service}/{path...}", g.work(g.server(g.call, g.decodeCall, g.encodeCall)))
-	g.handle(mux, "GET /v1/entries", g.server(g.entries, decodeCaller, kithttp.EncodeJSONResponse))
-	g.handle(mux, "GET /v1/status", g.server(g.status, decodeCaller, kithttp.EncodeJSONResponse))
+	mux.Handle("POST "+openai.ChatPath, g.work(g.server(g.generate, g.decodeGeneration, g.encodeGeneration)))
+	mux.Handle("POST "+openai.CompletionPath, g.work(g.server(g.generate, g.decodeGeneration, g.encodeGeneration)))
+	mux.Handle("GET /v1/models", g.server(g.models, g.decodeWorkspace, g.encodeBody))
+	mux.Handle("GET /v1/responses/{id}", g.server(g.resume, g.decodeResume, g.encodeGeneration))
+	mux.Handle("/s/{service}/{path...}", g.work(g.server(g.call, g.decodeCall, g.encodeCall)))
+	mux.Handle("GET /v1/entries", g.server(g.entries, decodeCaller, kithttp.EncodeJSONResponse))
+	mux.Handle("GET /v1/status", g.server(g.status, decodeCaller, kithttp.EncodeJSONResponse))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { plain(w, http.StatusOK, "ok\n") })
 	mux.HandleFunc("GET /readyz", g.readyz)
 	mux.Handle("GET /metrics", opts.Metrics)
@@ -133,10 +133,6 @@
 	return mux
 }
 
-func (g *gateway) handle(mux *http.ServeMux, pattern string, handler http.Handler) {
-	mux.Handle(pattern, handler)
-}
-
 // server builds a go-kit server whose errors become coded refusals.
 func (g *gateway) server(endpoint func(context.Context, any) (any, error), decode kithttp.DecodeRequestFunc,
 	encode kithttp.EncodeResponseFunc) http.Handler {
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -28,6 +28,8 @@
 	directPolls = 256
 	// directParallel bounds the polls that are open at a time.
 	directParallel = 16
+	// exactAge is how long an exact load is preferred to the quantized one that the load view keeps of it.
+	exactAge = 2 * loadview.PollPeriod
 	// cacheTimeout bounds one read of a server's cache events.
 	cacheTimeout = 500 * time.Millisecond
 )
@@ -46,7 +48,7 @@
 
 	mu      sync.Mutex
 	workers map[string]*pb.WorkerState // by server
-	own     map[string]backend.Load    // exact loads of the servers that this node observes
+	own     map[string]servers.Load    // exact loads of the servers that this node polls
 	events  map[string]uint64          // last cache event by server
 }
 
@@ -60,7 +62,7 @@
 		busy:     func() bool { return n.openRequests.Load() > 0 },
 		renew:    func() { n.tracker.Renew() },
 		workers:  map[string]*pb.WorkerState{},
-		own:      map[string]backend.Load{},
+		own:      map[string]servers.Load{},
 		events:   map[string]uint64{},
 	}
 	core := loadview.NewCore(loadview.Config{
@@ -114,11 +116,12 @@
 // note keeps the exact load of an observed server and tells the other nodes what changes rarely.
 func (l *loads) note(server string, load backend.Load) {
 	state := &pb.WorkerState{Models: load.Models, Adapters: load.Adapters, StartedUnixMs: uint64(load.StartedUnixMillis)}
+	now := time.Now()
 	l.mu.Lock()
-	l.own[server] = load
+	l.own[server] = servers.Load{Load: load, At: now}
 	known := l.workers[server]
 	l.mu.Unlock()
-	l.router.SetLoad(server, load, time.Now())
+	l.router.SetLoad(server, load, now)
 	if known == nil || !proto.Equal(known, state) {
 		// Urgent, because it changes a few times a day only and requests wait for it.
 		l.cluster.publish(workerPrefix+server, state, 0, true)
@@ -177,16 +180,18 @@
 	l.mu.Lock()
 	state, exact := l.workers[server], l.own[server]
 	l.mu.Unlock()
+	if now.Sub(exact.At) < exactAge {
+		return exact, true
+	}
 	if !ok && state == nil {
 		return servers.Load{}, false
 	}
 	out := servers.Load{
 		Load: backend.Load{
-			Running:       seen.Running,
-			Waiting:       seen.Waiting,
-			CachePercent:  seen.CachePercent,
-			StepMicros:    seen.StepMicros,
-			PrefillTokens: exact.PrefillTokens,
+			Running:      seen.Running,
+			Waiting:      seen.Waiting,
+			CachePercent: seen.CachePercent,
+			StepMicros:   seen.StepMicros,
 		},
 		At:          now.Add(-seen.Age),
 		Unreachable: seen.Unreachable,
--- a/internal/replica/attach.go
+++ b/internal/replica/attach.go
@@ -221,8 +221,12 @@
 // keepKV is called before the progress is sent, so that the new home can continue without a recompute.
 func (r *Replicator) Handover(ctx context.Context, log *stream.Log, keepKV func(context.Context) string, stop func()) bool {
 	meta := log.Meta()
+	peers := r.answering(meta.ID, "")
+	if len(peers) == 0 || meta.Home != r.Self.Node {
+		return false // the caller asks again soon; each copy of a KV cache costs the server memory and time
+	}
 	kv := keepKV(ctx)
-	for _, peer := range r.answering(meta.ID, "") {
+	for _, peer := range peers {
 		// The new home begins its attempt after this progress; tokens that arrive here meanwhile are generated again
 		// there and dropped by their offset.
 		message := &pb.StreamHandover{Open: log.Open(), Progress: log.Progress(0), Kv: kv}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -197,6 +197,14 @@
 	return membership.Member{}, false
 }
 
+func (w *world) setStatus(status pb.MemberState_Status, nodes ...int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range nodes {
+		w.nodes[i].member.Status = status
+	}
+}
+
 func (w *world) isDead(n *testNode) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -537,6 +545,29 @@
 	})
 }
 
+// Guards against KV caches that are copied again and again, as a leaving node retries, when no node can take the response
+// or one has it already.
+func TestHandoverCopiesNoKVCacheForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, false)
+		defer w.start()()
+		assert.NilError(t, w.accept(0, "a"))
+		n, copies := w.nodes[0], 0
+		log := n.Logs.Get(NewID("node-0", "a"))
+		handover := func() bool {
+			keepKV := func(context.Context) string { copies++; return "" }
+			return n.Handover(t.Context(), log, keepKV, func() { n.runner.Stop(log.Meta().ID) })
+		}
+		w.setStatus(pb.MemberState_LEAVING, 1, 2, 3)
+		assert.Assert(t, !handover())
+		assert.Equal(t, copies, 0, "no node could take the response")
+		w.setStatus(pb.MemberState_ALIVE, 1, 2, 3)
+		assert.Assert(t, handover())
+		assert.Assert(t, !handover(), "the response has another home already")
+		assert.Equal(t, copies, 1)
+	})
+}
+
 // Guards against a response that another workspace can read, and against one that is found after its log has gone.
 func TestAttachRefusesOtherWorkspaces(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -5,7 +5,8 @@
 // their TTL, counted from the write: a forwarded item carries the remaining time.
 //
 // Three mechanisms spread items, and all of them spend from one budget of bytes:
-//   - Urgent items are pushed at once to DefaultFanout peers by every node that learns of them.
+//   - Urgent items are pushed at once to originFanout peers by their writer, and to DefaultFanout peers by every
+//     other node that learns of them. The figures below were measured with DefaultFanout for the writer as well.
 //   - Other items wait for the next batch, which goes to one peer; each node passes each item on a few times.
 //   - Pull repairs what push leaves out. Every recentPeriod a node names the urgent items of the last seconds
 //     to one peer, which sends the missing ones; every digestPeriod it sends hashes of all buckets of keys.
