Count a claim attempt once while it turns into a background write

Cause of TestOpenCallsAreBounded (9 instead of 10 background writes): an attempt that ends with a write of CANCELLED or DONE counted the write before it gave up its own place, so for a moment one call held two places of MaxOpen. A call that joined in that moment was refused below the limit; when all later calls of the test fell into it, one place stayed unused.

The write now takes over the attempt's place. The new test holds the write where it begins and counts the open ones: 2 before, 1 after.

--- a/pkg/claim/attempt.go
+++ b/pkg/claim/attempt.go
@@ -60,20 +60,28 @@
 	answer
 )
 
-// run carries out one attempt.
+// run carries out one attempt. The background write that ends it takes over its place among the open ones: counted
+// twice, even for a moment, it would refuse another call below MaxOpen.
 func (c *Claims) run(ctx context.Context, e *entry, call Call, send Send) {
-	defer c.open.done()
+	last := c.attempt(ctx, e, call, send)
+	if last == nil {
+		c.open.done()
+		return
+	}
+	last.start()
+}
+
+// attempt returns the background write that ends the attempt, or nil when there is nothing to write.
+func (c *Claims) attempt(ctx context.Context, e *entry, call Call, send Send) *task {
 	st := &claimState{e: e, call: call, row: c.row(e, pb.ClaimRow_DISPATCHED, nil)}
 	v := c.claim(ctx, st)
 	if v.kind == answer {
-		c.endUnsent(st, v)
-		return
+		return c.endUnsent(st, v)
 	}
 	if !c.startSend(st) {
-		c.cancel(e, platform.Condition{Kind: platform.VersionIs, Version: v.version})
-		return
+		return c.cancellation(e, platform.Condition{Kind: platform.VersionIs, Version: v.version})
 	}
-	c.send(ctx, e, call, v.version, send)
+	return c.send(ctx, e, call, v.version, send)
 }
 
 func (c *Claims) row(e *entry, state pb.ClaimRow_State, outcome *pb.ClaimOutcome) []byte {
@@ -283,7 +291,7 @@
 }
 
 // endUnsent answers the callers of an attempt that will not be sent.
-func (c *Claims) endUnsent(st *claimState, v verdict) {
+func (c *Claims) endUnsent(st *claimState, v verdict) *task {
 	e := st.e
 	s := c.shard(e.key)
 	s.mu.Lock()
@@ -294,9 +302,10 @@
 		delete(s.abandoned, e.attempt)
 	}
 	s.mu.Unlock()
-	if st.written {
-		c.cancel(e, st.cond)
+	if !st.written {
+		return nil
 	}
+	return c.cancellation(e, st.cond)
 }
 
 // startSend moves a confirmed attempt to running. It returns false when the attempt has been answered already, or
@@ -318,28 +327,26 @@
 }
 
 // send sends the attempt and ends it.
-func (c *Claims) send(ctx context.Context, e *entry, call Call, version uint64, send Send) {
+func (c *Claims) send(ctx context.Context, e *entry, call Call, version uint64, send Send) *task {
 	sendCtx, cancel := context.WithTimeout(ctx, c.o.SendTimeout)
 	defer cancel()
 	out, sent, err := send(sendCtx, e.attempt)
 	if err == nil {
-		c.finish(e, version, out)
-		return
+		return c.finish(e, version, out)
 	}
 	if sent == NothingSent {
 		c.locked(e, func(s *shard) { s.abandon(e, notSentError(err)) })
-		c.cancel(e, platform.Condition{Kind: platform.VersionIs, Version: version})
-		return
+		return c.cancellation(e, platform.Condition{Kind: platform.VersionIs, Version: version})
 	}
 	if out, ok := c.askService(ctx, call, e.attempt); ok {
-		c.finish(e, version, out)
-		return
+		return c.finish(e, version, out)
 	}
 	c.locked(e, func(s *shard) {
 		e.phase = givenUp
 		s.remove(e)
 		s.answer(e, Outcome{}, c.errUnknown("the call may have run", err))
 	})
+	return nil
 }
 
 // locked calls change with the entry's shard locked.
@@ -359,12 +366,12 @@
 	return code.Wrap(code.NoBackendServer, code.RanNo, "the call could not be sent", err)
 }
 
-// finish answers the callers and stores the outcome in the background.
-func (c *Claims) finish(e *entry, version uint64, out Outcome) {
+// finish answers the callers and returns the write of the outcome.
+func (c *Claims) finish(e *entry, version uint64, out Outcome) *task {
 	c.locked(e, func(s *shard) {
 		e.phase = finished
 		e.outcome = out
 		s.answer(e, out, nil)
 	})
-	c.storeOwnOutcome(e, version, out)
+	return c.ownOutcome(e, version, out)
 }
--- a/pkg/claim/background.go
+++ b/pkg/claim/background.go
@@ -36,9 +36,9 @@
 	finish func()
 }
 
-// cancel writes CANCELLED over the row of an abandoned attempt, or in place of it under the condition of its last
+// cancellation writes CANCELLED over the row of an abandoned attempt, or in place of it under the condition of its last
 // write, so that a late write of the attempt cannot take effect any more.
-func (c *Claims) cancel(e *entry, cond platform.Condition) {
+func (c *Claims) cancellation(e *entry, cond platform.Condition) *task {
 	t := &task{c: c, key: e.key, attempt: e.attempt, state: pb.ClaimRow_CANCELLED, cond: cond}
 	t.value = c.row(e, pb.ClaimRow_CANCELLED, nil)
 	t.finish = func() {
@@ -47,19 +47,19 @@
 			s.keep(keptItem{until: c.o.Now().Add(c.o.Keep), attempt: e.attempt})
 		})
 	}
-	t.start()
+	return t
 }
 
-// storeOwnOutcome writes DONE for an attempt of this node, which stays in memory until then and for Options.Keep
+// ownOutcome writes DONE for an attempt of this node, which stays in memory until then and for Options.Keep
 // longer.
-func (c *Claims) storeOwnOutcome(e *entry, version uint64, out Outcome) {
+func (c *Claims) ownOutcome(e *entry, version uint64, out Outcome) *task {
 	t := &task{c: c, key: e.key, attempt: e.attempt, state: pb.ClaimRow_DONE}
 	t.cond = platform.Condition{Kind: platform.VersionIs, Version: version}
 	t.value = c.row(e, pb.ClaimRow_DONE, out.toPB())
 	t.finish = func() {
 		c.locked(e, func(s *shard) { s.keep(keptItem{until: c.o.Now().Add(c.o.Keep), entry: e}) })
 	}
-	t.start()
+	return t
 }
 
 // storeOutcome writes DONE for an attempt of another node, with an outcome that the service has confirmed.
@@ -70,11 +70,12 @@
 	done.ExpiresUnixMs = c.expiry()
 	t := &task{c: c, key: key, attempt: row.Attempt, state: pb.ClaimRow_DONE, value: marshal(done), finish: func() {}}
 	t.cond = platform.Condition{Kind: platform.VersionIs, Version: version}
+	c.open.add()
 	t.start()
 }
 
+// start begins the write. The caller has counted it among the open ones.
 func (t *task) start() {
-	t.c.open.add()
 	t.c.background.add()
 	t.wait = firstTaskWait
 	t.try()
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -311,6 +312,30 @@
 	})
 }
 
+// Guards against a call that is refused below MaxOpen, because an attempt counts twice while it turns into a
+// background write.
+func TestAttemptTurnsIntoOneBackgroundWrite(t *testing.T) {
+	scenario(t, func(t *testing.T, c *cluster, a, _ *testNode) {
+		a.store.SetFaults(table.Faults{Outage: table.Hanging})
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := c.do(t.Context(), a, "k", 1, behaviour{})
+			done <- err
+		}()
+		time.Sleep(a.o.StoreTimeout / 2) // the claim is sent
+		a.group.mu.Lock()                // holds the background write where it begins
+		expect(t, <-done, code.ClaimStoreUnavailable, code.RanNo)
+		for a.Stats().Background == 0 {
+			runtime.Gosched()
+		}
+		open := a.Stats().Open
+		a.group.mu.Unlock()
+		assert.Equal(t, open, 1)
+		a.store.SetFaults(table.Faults{})
+		assert.NilError(t, a.Drain(t.Context()))
+	})
+}
+
 // Guards against rows that stay after their retention, and against a purge that forgets a key before it.
 func TestPurge(t *testing.T) {
 	scenario(t, func(t *testing.T, c *cluster, a, b *testNode) {
