Replace an older revision's row at once after a lost race

A reader that lost the race for the accepted row to a reader of an older folder revision took that older version over and returned success. The newer edit then waited for the next pass of some reader, 0.8 to 1.2 s away, which together with the first pass can exceed the 2 s in which edits are promised.

The new test fails before (row at revision 1 instead of 2) and passes now.

--- a/pkg/configstore/accept.go
+++ b/pkg/configstore/accept.go
@@ -19,6 +19,9 @@
 // readBackTries is how often a conflict is read back; reads may lag by a few seconds.
 const readBackTries = 4
 
+// acceptTries is how often one pass tries to replace rows of older revisions that other readers write meanwhile.
+const acceptTries = 4
+
 // checkFolder reads the folder once and accepts its revision if it is higher than the accepted one.
 func (s *Store) checkFolder(ctx context.Context) error {
 	state, err := s.readFolder(ctx)
@@ -85,31 +88,37 @@
 	s.log("msg", "folder revision is not accepted", "folder_revision", revision, "faults", len(faults), "first", faults[0])
 }
 
-// accept replaces the row. It returns nil when the revision, or a higher one, is accepted.
+// accept replaces the row. It returns nil when the revision, or a higher one, is accepted. A reader that saw an older
+// revision may write first; the row is then replaced again at once, because the next pass is a FolderInterval away.
 func (s *Store) accept(ctx context.Context, revision uint64, digest string, data []byte) error {
 	row, err := s.readRow(ctx)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return fmt.Errorf("read row: %w", err)
 	}
-	if row.value.GetFolderRevision() >= revision {
-		return s.obtainOwn(ctx, row.value, digest, data)
-	}
-	accepted := &pb.AcceptedVersion{
-		Version:        max(row.value.GetVersion(), s.currentVersion()) + 1,
-		FolderRevision: revision,
-		Digest:         digest,
-	}
-	written, err := s.writeRow(ctx, row, accepted)
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return s.readBack(ctx, row.version, digest, data)
-	}
-	if err != nil {
-		return fmt.Errorf("write row: %w", err)
+	for range acceptTries {
+		if row.value.GetFolderRevision() >= revision {
+			return s.obtainOwn(ctx, row.value, digest, data)
+		}
+		accepted := &pb.AcceptedVersion{
+			Version:        max(row.value.GetVersion(), s.currentVersion()) + 1,
+			FolderRevision: revision,
+			Digest:         digest,
+		}
+		written, err := s.writeRow(ctx, row, accepted)
+		if err == nil {
+			s.sawRow(seenRow{written, accepted})
+			s.log("msg", "folder revision accepted", "folder_revision", revision, "version", accepted.Version)
+			return s.adopt(accepted, data, true)
+		}
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			return fmt.Errorf("write row: %w", err)
+		}
+		if row, err = s.readBack(ctx, row.version); err != nil {
+			return err
+		}
 	}
-	s.sawRow(seenRow{written, accepted})
-	s.log("msg", "folder revision accepted", "folder_revision", revision, "version", accepted.Version)
-	return s.adopt(accepted, data, true)
+	return errors.New("other readers replaced the row at each try")
 }
 
 // writeRow replaces the row if it is still the one that was read. A write with an unknown outcome is repeated
@@ -149,17 +158,17 @@
 
 // readBack reads the row after a conflict until it shows a newer row version than the condition named. The
 // newer row is the own write with a lost answer or that of another node.
-func (s *Store) readBack(ctx context.Context, old uint64, digest string, data []byte) error {
+func (s *Store) readBack(ctx context.Context, old uint64) (seenRow, error) {
 	for try := range readBackTries {
 		row, err := s.readRow(ctx)
 		if err == nil && row.version > old {
-			return s.obtainOwn(ctx, row.value, digest, data)
+			return row, nil
 		}
 		if !clock.Sleep(ctx, s.backoff(try)) {
-			return ctx.Err()
+			return seenRow{}, ctx.Err()
 		}
 	}
-	return errors.New("row was changed by another writer and cannot be read back yet")
+	return seenRow{}, errors.New("row was changed by another writer and cannot be read back yet")
 }
 
 // obtainOwn puts the version of the row in force, from the own snapshot if it is that one.
--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -140,6 +140,44 @@
 	})
 }
 
+// interruptedTable calls first before its first commit.
+type interruptedTable struct {
+	platform.Table
+	first func()
+}
+
+func (i *interruptedTable) Commit(ctx context.Context, mutations []platform.Mutation) ([]uint64, error) {
+	if first := i.first; first != nil {
+		i.first = nil
+		first()
+	}
+	return i.Table.Commit(ctx, mutations)
+}
+
+// Guards against an edit that waits for the next pass, because a reader of the edit before it wrote its row first.
+func TestNewerEditWinsTheRaceAtOnce(t *testing.T) {
+	simulate(t, 5, 2, func(ctx context.Context, t *testing.T, c *cluster) {
+		older, newer := c.nodes[0], c.nodes[1]
+		newStore := func(n *node, view platform.Table) *Store {
+			return New(Options{Table: view, Objects: c.objects, Folder: n.folder, Node: n.name, Rand: n.rand})
+		}
+		older.store = newStore(older, older.table)
+		view := &interruptedTable{Table: newer.table, first: func() {
+			older.folder.set(time.Second, false) // it reads the folder as it was before the second edit
+			assert.NilError(t, older.store.checkFolder(ctx))
+		}}
+		newer.store = newStore(newer, view)
+		c.folder.edit(true)
+		time.Sleep(time.Second)
+		c.folder.edit(true)
+		assert.NilError(t, newer.store.checkFolder(ctx))
+		row, err := readRow(c.table)
+		assert.NilError(t, err)
+		assert.Equal(t, row.FolderRevision, uint64(2))
+		assert.Equal(t, newer.store.Current().FolderRevision, uint64(2))
+	})
+}
+
 // Guards against racing editors and readers whose writes overwrite each other.
 func TestRacingEditors(t *testing.T) {
 	simulate(t, 4, 4, func(ctx context.Context, t *testing.T, c *cluster) {
