Tell changes of servers in beats; fetch only what has changed

Ruled out: processor time, the busiest node uses 0.03 cores.

The node that reads the rows now tells changes with its next beats, sent at once; who misses them fetches what changed since its version, from two peers at most. A digest shows when changes were not enough; then the whole view is fetched.

pollenlug explain reads node logs and names the cause of a failed request, or prints a timeline. Log times get milliseconds: whole seconds do not put the lines of several nodes in order.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,7 +31,7 @@
 		"Exit codes: 0 success, 1 the command found a fault, 2 wrong command line or setting."
 	parser.Version = Version
 	parser.ShowCompletion = false
-	commands := []*command{devCommand(), serveCommand(), edgeCommand(), standinCommand(), configCommand(), benchCommand(), keysCommand(), versionCommand()}
+	commands := []*command{devCommand(), serveCommand(), edgeCommand(), standinCommand(), configCommand(), benchCommand(), explainCommand(), keysCommand(), versionCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.parsed, 1)
 	}
--- a/internal/edge/configview.go
+++ b/internal/edge/configview.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 )
@@ -67,7 +68,7 @@
 	if c.Version <= v.Version() {
 		return nil
 	}
-	v.log.WithFields(logrus.Fields{"version": c.Version, "before": v.Version(), "source": source}).Info("configuration in force")
+	v.log.WithFields(logrus.Fields{"version": c.Version, "before": v.Version(), "source": source}).Info(logline.ConfigInForce)
 	v.raw = value
 	v.changed(c)
 	v.current.Store(c)
@@ -121,7 +122,7 @@
 	}
 	if err := v.accept(row.Value, "store"); err != nil && v.badRow != row.Version {
 		v.badRow = row.Version
-		v.log.WithError(err).WithField("row_version", row.Version).Error("configuration row cannot be read; the one before stays in force")
+		v.log.WithError(err).WithField("row_version", row.Version).Error(logline.ConfigRowBroken)
 	}
 }
 
@@ -135,13 +136,13 @@
 func (d *dependency) lost(err error) {
 	if d.since.IsZero() {
 		d.since = time.Now()
-		d.log.WithError(err).WithField("dependency", d.name).Warning("dependency lost")
+		d.log.WithError(err).WithField(logline.Dependency, d.name).Warning(logline.DependencyLost)
 	}
 }
 
 func (d *dependency) regained() {
 	if !d.since.IsZero() {
-		d.log.WithFields(logrus.Fields{"dependency": d.name, "after": fmt.Sprint(time.Since(d.since))}).Info("dependency regained")
+		d.log.WithFields(logrus.Fields{logline.Dependency: d.name, "after": fmt.Sprint(time.Since(d.since))}).Info(logline.DependencyBack)
 		d.since = time.Time{}
 	}
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +28,8 @@
 	// fetchTimeout bounds a fetch from a peer, fetchPause the time until the same view is fetched again.
 	fetchTimeout = time.Second
 	fetchPause   = 100 * time.Millisecond
+	// mostFetches is from how many peers the same view is fetched at once; one of them may be slow or gone.
+	mostFetches = 2
 	// maxView bounds the size of a view.
 	maxView = 4 << 20
 )
@@ -37,12 +41,13 @@
 	client  *httpclient.Client
 	log     *logrus.Entry
 
-	mu   sync.Mutex
-	busy map[string]bool
+	mu      sync.Mutex
+	busy    map[string]bool // by peer and view
+	running map[string]int  // by view
 }
 
 func newFetcher(config *configView, servers *serverView, log *logrus.Entry) *fetcher {
-	return &fetcher{config: config, servers: servers, log: log, busy: map[string]bool{},
+	return &fetcher{config: config, servers: servers, log: log, busy: map[string]bool{}, running: map[string]int{},
 		client: httpclient.New(httpclient.Options{DialTimeout: fetchTimeout, Dial: netdial.Dial(fetchTimeout)})}
 }
 
@@ -51,26 +56,41 @@
 	if beat.ConfigVersion > f.config.Version() {
 		f.fetch(beat.ControlAddr, pathConfig, func(data []byte) error { return f.config.accept(data, beat.Node) })
 	}
+	if beat.Changes != nil {
+		if err := f.servers.adopt(beat.Changes, now); err != nil {
+			f.log.WithError(err).WithField("peer", beat.Node).Debug("changes of servers not enough")
+		}
+	}
 	if f.servers.heard(beat.Servers, now) {
-		f.fetch(beat.ControlAddr, pathServers, func(data []byte) error {
-			view := &pb.ServerView{}
-			if err := proto.Unmarshal(data, view); err != nil {
-				return err
-			}
-			f.servers.adopt(view, time.Now())
-			return nil
-		})
+		f.fetchServers(beat.ControlAddr)
 	}
 }
 
-// fetch reads a view in the background, one of each kind from a peer at a time.
+// fetchServers asks a peer for what has changed since this node's view, or for all when that is not enough.
+func (f *fetcher) fetchServers(addr string) {
+	path := pathServers + "?since=" + strconv.FormatUint(f.servers.since(), 10)
+	f.fetch(addr, path, func(data []byte) error {
+		view := &pb.ServerView{}
+		if err := proto.Unmarshal(data, view); err != nil {
+			return err
+		}
+		return f.servers.adopt(view, time.Now())
+	})
+}
+
+// fetch reads a view in the background, from few peers at a time: all of them hear of a change at nearly the same time,
+// and a whole view is a large part of a second on a slow link.
 func (f *fetcher) fetch(addr, path string, take func([]byte) error) {
-	key := addr + path
+	view, _, _ := strings.Cut(path, "?")
+	key := addr + view
 	f.mu.Lock()
-	started := f.busy[key]
-	f.busy[key] = true
+	refused := f.busy[key] || f.running[view] >= mostFetches
+	if !refused {
+		f.busy[key] = true
+		f.running[view]++
+	}
 	f.mu.Unlock()
-	if started {
+	if refused {
 		return
 	}
 	go func() {
@@ -84,6 +104,7 @@
 		}
 		f.mu.Lock()
 		delete(f.busy, key)
+		f.running[view]--
 		f.mu.Unlock()
 	}()
 }
@@ -109,8 +130,12 @@
 	mux.HandleFunc("GET "+pathConfig, func(w http.ResponseWriter, _ *http.Request) {
 		n.writeView(w, n.config.Raw())
 	})
-	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, _ *http.Request) {
-		data, err := proto.Marshal(n.servers.export(time.Now()))
+	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, r *http.Request) {
+		since, err := strconv.ParseUint(r.FormValue("since"), 10, 64)
+		if err != nil {
+			since = 0 // the whole view
+		}
+		data, err := proto.Marshal(n.servers.export(since, time.Now()))
 		if err != nil {
 			n.log.WithError(err).Error("view of servers cannot be encoded")
 			w.WriteHeader(http.StatusInternalServerError)
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pollenlug/pollenlug/internal/clock"
+
+	"github.com/pollenlug/pollenlug/internal/logline"
 )
 
 const (
@@ -35,7 +37,7 @@
 	begin := time.Now()
 	n.stoppedAt.Store(&begin)
 	n.stopping.Store(true)
-	n.log.WithField("open", n.open.Load()).Info("stop signal received; draining")
+	n.log.WithField("open", n.open.Load()).Info(logline.NodeDraining)
 	n.peers.send()
 	stopDuties()
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(n.settings.Grace-endMargin))
@@ -50,6 +52,6 @@
 		}
 	}
 	if open := n.open.Load(); open > 0 {
-		n.log.WithField("open", open).Warning("requests cut off at the end of the grace")
+		n.log.WithField("open", open).Warning(logline.RequestsCutOff)
 	}
 }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/elastic"
 	"github.com/pollenlug/pollenlug/pkg/lease"
 	"github.com/pollenlug/pollenlug/pkg/platform"
@@ -79,12 +80,12 @@
 		if err != nil {
 			continue
 		}
-		n.log.Info("lease of the duties acquired")
+		n.log.Info(logline.DutiesAcquired)
 		n.holdsDuties.Store(true)
 		n.holdDuties(ctx, held, lastActed.Add(n.settings.LeaseDuration))
 		n.holdsDuties.Store(false)
 		lastActed = time.Now()
-		n.log.Info("lease of the duties ended")
+		n.log.Info(logline.DutiesEnded)
 	}
 }
 
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +19,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/pollenlug/pollenlug/internal/edge"
+	"github.com/pollenlug/pollenlug/internal/explain"
+	"github.com/pollenlug/pollenlug/internal/settings"
 	"github.com/pollenlug/pollenlug/platform"
 	"github.com/pollenlug/pollenlug/platform/standin"
 )
@@ -37,6 +41,29 @@
 	grace   time.Duration
 	// retrySlack is the number of repeats that are always allowed.
 	retrySlack float64
+	logs       logBuffer
+}
+
+// logBuffer keeps the log lines of all nodes.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(line)
+}
+
+// read returns what the nodes have logged so far.
+func (b *logBuffer) read(t *testing.T) *explain.Log {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	log, err := explain.Read(bytes.NewReader(b.data.Bytes()))
+	assert.NilError(t, err)
+	assert.Equal(t, log.Unreadable, 0)
+	return log
 }
 
 // runningNode is one node of a deployment.
@@ -109,11 +136,11 @@
 		Grace: d.grace, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: d.retrySlack, LeaseDuration: time.Second,
 		UsageWindow: time.Second, UsageDelay: 3 * time.Second, DirectoryTTL: 5 * time.Second, StoreAddr: d.storeAt, CloudAddr: d.dutyAt}
 	assert.NilError(d.t, s.Check())
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger := settings.Logger("info")
+	logger.SetOutput(&d.logs)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &runningNode{settings: s, stop: cancel, done: make(chan struct{})}
-	node := platform.NewNode(s, logrus.NewEntry(logger))
+	node := platform.NewNode(s, logrus.NewEntry(logger).WithField("node", s.Node))
 	go func() {
 		defer close(n.done)
 		if err := node.Run(ctx); err != nil {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/metrics"
 	"github.com/pollenlug/pollenlug/internal/netdial"
 	"github.com/pollenlug/pollenlug/pkg/limit"
@@ -105,8 +106,8 @@
 		changed: n.serversChanged, entries: map[string]*serverEntry{}}
 	n.fetcher = newFetcher(n.config, n.servers, o.Log)
 	n.peers = &peers{self: o.Settings.Node, addr: o.Settings.PeerAddr, store: o.Store, log: o.Log, started: now.UnixMilli(),
-		compose: n.beat, usage: n.usageBeat, heard: n.heard, left: n.peerLeft, nodes: map[string]*peerNode{}, largest: 1}
-	n.servers.rank, n.servers.beat = n.peers.rank, n.peers.beatInterval
+		compose: n.beat, usage: n.usageBeat, heard: n.heard, left: n.peerLeft, nodes: map[string]*peerNode{}, largest: 1, news: make(chan struct{}, 1)}
+	n.servers.rank, n.servers.beat, n.servers.news = n.peers.rank, n.peers.beatInterval, n.peers.sendSoon
 	return n
 }
 
@@ -130,12 +131,12 @@
 	dutiesCtx, stopDuties := context.WithCancel(background)
 	defer stopDuties()
 	work.Go(func() { n.runDuties(dutiesCtx) })
-	n.log.WithFields(logrus.Fields{"addr": n.settings.CallerAddr, "failure_domain": n.settings.FailureDomain}).Info("node started")
+	n.log.WithFields(logrus.Fields{"addr": n.settings.CallerAddr, "failure_domain": n.settings.FailureDomain}).Info(logline.NodeStarted)
 	<-ctx.Done()
 	n.drain(servers, stopDuties)
 	stop()
 	work.Wait()
-	n.log.Info("node stopped")
+	n.log.Info(logline.NodeStopped)
 	return nil
 }
 
@@ -221,7 +222,7 @@
 		groups[s.Service] = append(groups[s.Service], s.ID)
 	}
 	n.outliers.SetServers(groups)
-	n.log.WithField("servers", len(servers)).Info("view of backend servers changed")
+	n.log.WithField("servers", len(servers)).Info(logline.ServersInView)
 }
 
 // retryWindow returns the budget of repeats to a service.
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/elastic"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 	"github.com/pollenlug/pollenlug/pkg/serving"
@@ -121,14 +122,14 @@
 	case errors.Is(err, platform.ErrStartRefused):
 		h.refused[key.service+"/"+key.domain] = now
 		h.n.metrics.Count("orders", "result", "refused", 1)
-		h.n.log.WithFields(fields).Info("order refused: no such servers now")
+		h.n.log.WithFields(fields).Info(logline.OrderRefused)
 	case err != nil:
 		h.n.metrics.Count("orders", "result", "failed", 1)
 		h.n.log.WithError(err).WithFields(fields).Warning("order failed")
 	default:
 		h.n.metrics.Count("orders", "result", "accepted", 1)
 		if placed == nil || placed.count != count {
-			h.n.log.WithFields(fields).Info("servers ordered")
+			h.n.log.WithFields(fields).Info(logline.ServersOrdered)
 		}
 	}
 	h.next[key] = &placedOrder{count: count, at: now}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 )
@@ -70,9 +71,11 @@
 	left    func(node string, started int64)
 	started int64
 
-	mu      sync.Mutex
-	nodes   map[string]*peerNode // by name; seeds by address until their name is known
-	ownRow  uint64
+	mu     sync.Mutex
+	nodes  map[string]*peerNode // by name; seeds by address until their name is known
+	ownRow uint64
+	// news asks for a beat before the interval ends.
+	news    chan struct{}
 	largest int // most nodes seen alive together, this one included
 }
 
@@ -178,12 +181,23 @@
 	defer p.conn.Close()
 	for {
 		p.send()
-		if !clock.Sleep(ctx, p.beatInterval()) {
+		select {
+		case <-time.After(p.beatInterval()):
+		case <-p.news:
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// sendSoon sends the next beat at once.
+func (p *peers) sendSoon() {
+	select {
+	case p.news <- struct{}{}:
+	default: // one is asked for already
+	}
+}
+
 // send sends this node's beat to all others.
 func (p *peers) send() {
 	now := time.Now()
@@ -302,7 +316,7 @@
 		p.left(beat.Node, before.Started)
 	}
 	if returned {
-		p.log.WithFields(logrus.Fields{"peer": beat.Node, "started": beat.Started}).Info("node heard of")
+		p.log.WithFields(logrus.Fields{"peer": beat.Node, "started": beat.Started}).Info(logline.NodeHeard)
 	}
 	p.heard(beat, now)
 }
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/placement"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 )
@@ -88,7 +89,7 @@
 	n.countUsage(req)
 	n.writeAnswer(req, answer)
 	if req.outcome == "" {
-		req.outcome = "served"
+		req.outcome = logline.Served
 	}
 	return try{verdict: answered}
 }
@@ -146,7 +147,7 @@
 	}
 	defer a.rest.Close()
 	if _, err := io.Copy(req.w, a.rest); err != nil {
-		req.outcome, req.note = "broken_off", err.Error()
+		req.outcome, req.note = logline.BrokenOff, err.Error()
 		n.abort(req)
 	}
 }
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/code"
 )
 
@@ -58,22 +59,22 @@
 	if !n.log.Logger.IsLevelEnabled(logrus.InfoLevel) {
 		return
 	}
-	fields := logrus.Fields{"attempt": req.AttemptID, "outcome": req.outcome, "ms": took.Milliseconds(), "config": n.config.Version()}
+	fields := logrus.Fields{logline.Attempt: req.AttemptID, logline.Outcome: req.outcome, logline.Took: took.Milliseconds(), "config": n.config.Version()}
 	if req.route != nil {
 		fields["route"] = req.route.Name
 	}
 	if len(req.tried) > 0 {
-		fields["servers"] = req.tried
+		fields[logline.Servers] = req.tried
 	}
 	if req.firstEvent > 0 {
 		fields["first_event_ms"], fields["expected_ms"] = req.firstEvent.Milliseconds(), req.expected.Milliseconds()
 		fields["prefill"], fields["prompt"], fields["output"] = int(req.prefill), req.PromptTokens, req.OutputTokens
 	}
 	if req.note != "" {
-		fields["why"] = req.note
+		fields[logline.Why] = req.note
 	}
 	if req.workspace != nil {
 		fields["workspace"] = req.workspace.Name
 	}
-	n.log.WithFields(fields).Info("request")
+	n.log.WithFields(fields).Info(logline.Request)
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/placement"
@@ -227,14 +228,14 @@
 func (n *Node) giveUp(req *request, stream *streamRelay, kept *bufferedAnswer, refusal *code.Error) *code.Error {
 	if stream.started {
 		// The caller has part of the answer; only a broken connection tells that it is not complete.
-		req.outcome, req.note = "broken_off", refusal.Message
+		req.outcome, req.note = logline.BrokenOff, refusal.Message
 		n.metrics.Refusal(refusal.Code)
 		n.abort(req)
 		return nil
 	}
 	if kept != nil && refusal.Code != code.CallerGone {
 		n.writeAnswer(req, kept)
-		req.outcome = "server_failed"
+		req.outcome = logline.ServerFailed
 		return nil
 	}
 	if req.mayHaveRun && refusal.Ran == code.RanNo {
--- a/internal/edge/serverview.go
+++ b/internal/edge/serverview.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 	"github.com/pollenlug/pollenlug/pkg/serving"
@@ -41,6 +42,8 @@
 	version uint64
 	server  serving.Server
 	bad     bool // the row names no server
+	// changedIn is the version of the store that brought the last change which decisions depend on, or a later one.
+	changedIn uint64
 	// goneAt is when the server counts as gone after its row vanished; zero while the row exists.
 	goneAt time.Time
 }
@@ -72,6 +75,18 @@
 	freshAt time.Time
 	// returnedAt is when the store answered again after an outage.
 	returnedAt time.Time
+	// removed are the servers that have gone, the oldest first; removedFloor is the version of the newest one that was
+	// forgotten, up to which the view cannot tell changes.
+	removed      []removedServer
+	removedFloor uint64
+	// contentVersion is the version that brought the last change: views between it and version have the same content.
+	contentVersion uint64
+	// incomplete is set when changes that a peer told did not lead to the peer's view.
+	incomplete bool
+	// told are changes that this node has read itself and that its next beats tell.
+	told toldChanges
+	// news is called after this node has read a change, with the lock held.
+	news func()
 }
 
 // quietFor returns how long the view has not changed.
@@ -140,14 +155,18 @@
 	v.noteReturn(sent)
 	for _, c := range changes {
 		if c.Deleted {
-			v.remove(c.Key, sent)
+			v.remove(c.Key, sent, max(version, since))
 		} else {
 			v.put(c.Key, c.Value, c.Version)
 		}
 	}
 	v.version = max(version, since)
 	v.freshAt = sent
-	v.publish()
+	if v.publish() {
+		v.told.add(v.contentVersion, sent)
+		v.contentVersion = v.version
+		v.news()
+	}
 	return nil
 }
 
@@ -169,12 +188,16 @@
 	}
 	for key := range v.entries {
 		if !present[key] {
-			v.remove(key, sent)
+			v.remove(key, sent, version)
 		}
 	}
 	v.version = version
 	v.freshAt = sent
-	v.publish()
+	v.incomplete = false
+	if v.publish() {
+		v.contentVersion = version
+		v.news()
+	}
 	v.known.Store(true)
 	return nil
 }
@@ -197,15 +220,17 @@
 	}
 	if err == nil && e != nil && !e.bad && isOlder(server, e.server) {
 		// A write of the server that was delayed in the network must not undo a newer one.
-		v.log.WithFields(logrus.Fields{"server": key, "sequence": server.Sequence, "known": e.server.Sequence}).
+		v.log.WithFields(logrus.Fields{logline.Server: key, "sequence": server.Sequence, "known": e.server.Sequence}).
 			Info("older row of a server ignored")
 		e.version, e.goneAt = version, time.Time{}
 		return
 	}
-	next := &serverEntry{value: value, version: version, server: server, bad: err != nil}
-	if e == nil || entryDigest(&e.server) != entryDigest(&server) {
-		v.log.WithFields(logrus.Fields{"server": key, "service": server.Service, "addr": server.Address,
-			"draining": server.State == serving.Draining, "born": server.Born, "row_version": version}).Info("server changed")
+	next := &serverEntry{value: value, version: version, server: server, bad: err != nil, changedIn: version}
+	if e != nil && e.bad == next.bad && e.goneAt.IsZero() && entryDigest(&e.server) == entryDigest(&server) {
+		next.changedIn = e.changedIn
+	} else {
+		v.log.WithFields(logrus.Fields{logline.Server: key, "service": server.Service, "addr": server.Address,
+			"draining": server.State == serving.Draining, "born": server.Born, "row_version": version}).Info(logline.ServerChanged)
 	}
 	v.entries[key] = next
 }
@@ -218,19 +243,20 @@
 	return now.Sequence < known.Sequence
 }
 
-// remove takes a server out at once, or after a while when its row may have lapsed because of an outage.
-func (v *serverView) remove(key string, now time.Time) {
+// remove takes a server out at once, or after a while when its row may have lapsed because of an outage. version is the
+// one of the store without the row.
+func (v *serverView) remove(key string, now time.Time, version uint64) {
 	e := v.entries[key]
 	if e == nil || !e.goneAt.IsZero() {
 		return
 	}
 	if until := v.returnedAt.Add(lapseGrace); e.server.State == serving.Ready && now.Before(until) {
-		e.goneAt = until
-		v.log.WithField("server", key).Info("row of a server vanished around an outage of the store; kept for a while")
+		e.goneAt, e.changedIn = until, version
+		v.log.WithField(logline.Server, key).Info(logline.ServersInDoubt)
 		return
 	}
-	v.log.WithField("server", key).Info("server gone")
-	delete(v.entries, key)
+	v.log.WithField(logline.Server, key).Info(logline.ServerGone)
+	v.drop(key, version)
 }
 
 // expire takes out the servers whose rows did not come back.
@@ -239,14 +265,14 @@
 	defer v.mu.Unlock()
 	for key, e := range v.entries {
 		if !e.goneAt.IsZero() && now.After(e.goneAt) {
-			delete(v.entries, key)
+			v.drop(key, v.version+1) // peers at this version drop it by themselves
 		}
 	}
 	v.publish()
 }
 
-// publish passes the servers on when something has changed that decisions depend on.
-func (v *serverView) publish() {
+// publish passes the servers on when something has changed that decisions depend on, and reports whether it has.
+func (v *serverView) publish() bool {
 	digest := uint64(0)
 	servers := make([]serving.Server, 0, len(v.entries))
 	for _, e := range v.entries {
@@ -257,10 +283,11 @@
 		servers = append(servers, e.server)
 	}
 	if digest == v.digest {
-		return
+		return false
 	}
 	v.digest, v.changedAt = digest, time.Now()
 	v.changed(servers)
+	return true
 }
 
 // entryDigest is a hash whose bits all depend on each field: digests of entries are added up, and with a weaker hash the
@@ -294,44 +321,3 @@
 	}
 	return false
 }
-
-// export returns the view for a peer.
-func (v *serverView) export(now time.Time) *pb.ServerView {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	out := &pb.ServerView{Version: v.version, AgeMs: uint32(min(now.Sub(v.freshAt), time.Hour).Milliseconds())}
-	for key, e := range v.entries {
-		entry := &pb.ServerEntry{Key: key, Value: e.value, Version: e.version}
-		if !e.goneAt.IsZero() {
-			entry.GoneInMs = uint32(max(e.goneAt.Sub(now).Milliseconds(), 1))
-		}
-		out.Entries = append(out.Entries, entry)
-	}
-	return out
-}
-
-// adopt takes over a peer's view that was read at a newer version.
-func (v *serverView) adopt(view *pb.ServerView, now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if view.Version <= v.version {
-		return
-	}
-	present := make(map[string]bool, len(view.Entries))
-	for _, e := range view.Entries {
-		present[e.Key] = true
-		v.put(e.Key, e.Value, e.Version)
-		if e.GoneInMs > 0 {
-			v.entries[e.Key].goneAt = now.Add(time.Duration(e.GoneInMs) * time.Millisecond)
-		}
-	}
-	for key := range v.entries {
-		if !present[key] {
-			delete(v.entries, key)
-		}
-	}
-	v.version = view.Version
-	v.freshAt = now.Add(-time.Duration(view.AgeMs) * time.Millisecond)
-	v.publish()
-	v.known.Store(true)
-}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/placement"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 )
@@ -63,7 +64,7 @@
 	}
 	err = s.copy(resp, ticket, stall)
 	if err == nil {
-		s.req.outcome = "served"
+		s.req.outcome = logline.Served
 		return try{verdict: answered}
 	}
 	return s.ended(ctx, ticket, err)
--- a/internal/edge/usagereport.go
+++ b/internal/edge/usagereport.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 )
@@ -38,7 +39,7 @@
 			continue
 		}
 		h.reported[number] = true
-		h.n.log.WithFields(logrus.Fields{"window": number, "counts": counts}).Info("usage reported")
+		h.n.log.WithFields(logrus.Fields{"window": number, "counts": counts}).Info(logline.UsageReported)
 	}
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,69 @@
+package explain
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const sample = `edge-2 | {"time":"2026-12-04T06:00:03.100Z","node":"n2","msg":"request","attempt":"b","outcome":"served","ms":400,"servers":["i-1","i-2"]}
+{"time":"2026-12-04T06:00:01Z","node":"n1","msg":"configuration in force","version":7,"level":"info"}
+{"time":"2026-12-04T06:00:02Z","node":"n1","msg":"dependency lost","dependency":"store servers"}
+{"time":"2026-12-04T06:00:03Z","node":"n1","msg":"request","attempt":"a","outcome":"outcome_unknown","ms":200,"servers":["i-1"],"why":"the server's answer was lost"}
+{"time":"2026-12-04T06:00:03.500Z","node":"n1","msg":"request","attempt":"c","outcome":"no_backend_server","ms":1,"why":"no server of the service can take the request"}
+{"time":"2026-12-04T06:00:04Z","node":"n1","msg":"record of a request on crashed servers changed","digest":"d","servers":["i-1"]}
+{"level":"warning","msg":"log lines dropped","count":3}
+panic: something that is no JSON
+`
+
+func sampleLog(t *testing.T) *Log {
+	log, err := Read(strings.NewReader(sample))
+	assert.NilError(t, err)
+	return log
+}
+
+// Guards against lines that are lost without a word, or read in the order of the files instead of that of time.
+func TestReadCountsGapsAndSorts(t *testing.T) {
+	log := sampleLog(t)
+	assert.Equal(t, log.Unreadable, 1)
+	assert.Equal(t, log.Dropped, 3)
+	assert.Equal(t, log.Lines[0].Message, "configuration in force")
+	assert.Equal(t, len(log.Lines), 6)
+}
+
+// Guards against a crash that is taken for a broken connection, and against evidence that is left out.
+func TestCrashOfTheServerIsTheCause(t *testing.T) {
+	a := sampleLog(t).Request("a")
+	assert.Equal(t, len(a), 1)
+	assert.Equal(t, a[0].Began.Format(timeLayout), "06:00:02.800")
+	assert.Assert(t, strings.Contains(a[0].Cause, "had crashed"), a[0].Cause)
+	assert.Equal(t, len(a[0].Evidence), 2, "the crash record, and the request of the other node that went on elsewhere")
+	var out bytes.Buffer
+	assert.NilError(t, PrintRequest(&out, a))
+	assert.Assert(t, strings.Contains(out.String(), "06:00:03.000 n1 request attempt=a ms=200 outcome=outcome_unknown servers=i-1"), out.String())
+}
+
+// Guards against a refusal on arrival that does not show what the node lacked.
+func TestRefusalOnArrivalShowsWhatTheNodeBelieved(t *testing.T) {
+	a := sampleLog(t).Request("c")[0]
+	assert.Assert(t, strings.Contains(a.Cause, "no server was tried"), a.Cause)
+	assert.Equal(t, len(a.Evidence), 2)
+	assert.Equal(t, a.Evidence[1].Fields["dependency"], "store servers")
+}
+
+// Guards against a timeline that shows requests, or that leaves out its bounds.
+func TestTimeline(t *testing.T) {
+	log := sampleLog(t)
+	from, err := log.ParseTime("06:00:02")
+	assert.NilError(t, err)
+	to, err := log.ParseTime("2026-12-04T06:00:04Z")
+	assert.NilError(t, err)
+	lines := log.Timeline(from, to)
+	assert.Equal(t, len(lines), 2)
+	assert.Equal(t, len(log.Timeline(time.Time{}, time.Time{})), 3)
+	_, err = log.ParseTime("yesterday")
+	assert.ErrorContains(t, err, "yesterday")
+}
--- /dev/null
+++ b/internal/logline/logline.go
@@ -0,0 +1,53 @@
+// Package logline names the log lines of a node that other programs read: what pollenlug explain takes a cause from.
+// docs/OPERATIONS.md describes all lines.
+package logline
+
+// Messages.
+const (
+	Request         = "request"
+	Dropped         = "log lines dropped"
+	ServerChanged   = "server changed"
+	ServerGone      = "server gone"
+	CrashRecord     = "record of a request on crashed servers changed"
+	DependencyLost  = "dependency lost"
+	DependencyBack  = "dependency regained"
+	ConfigInForce   = "configuration in force"
+	ServersOrdered  = "servers ordered"
+	OrderRefused    = "order refused: no such servers now"
+	NodeStarted     = "node started"
+	NodeDraining    = "stop signal received; draining"
+	NodeStopped     = "node stopped"
+	DutiesAcquired  = "lease of the duties acquired"
+	DutiesEnded     = "lease of the duties ended"
+	ServersInView   = "view of backend servers changed"
+	ServersInDoubt  = "row of a server vanished around an outage of the store; kept for a while"
+	UsageReported   = "usage reported"
+	RequestsCutOff  = "requests cut off at the end of the grace"
+	NodeHeard       = "node heard of"
+	ConfigRowBroken = "configuration row cannot be read; the one before stays in force"
+)
+
+// Fields.
+const (
+	Time       = "time"
+	Node       = "node"
+	Message    = "msg"
+	Level      = "level"
+	Attempt    = "attempt"
+	Outcome    = "outcome"
+	Why        = "why"
+	Servers    = "servers"
+	Server     = "server"
+	Took       = "ms"
+	Dependency = "dependency"
+	Count      = "count"
+)
+
+// Outcomes of requests that are no result codes.
+const (
+	Served = "served"
+	// BrokenOff is a stream that could not be completed.
+	BrokenOff = "broken_off"
+	// ServerFailed is a server's own error that was passed on.
+	ServerFailed = "server_failed"
+)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -9,6 +9,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/pollenlug/pollenlug/internal/logline"
 )
 
 const (
@@ -61,7 +63,7 @@
 		// An output that cannot be written to has no other place to report it.
 		_, _ = s.out.Write(line)
 		if n := s.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(s.out, "{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
+			_, _ = fmt.Fprintf(s.out, "{\"level\":\"warning\",\"msg\":%q,\"count\":%d}\n", logline.Dropped, n)
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -208,10 +208,13 @@
 	return fault(field, "%q is not cost-aware, round-robin, least-loaded or prefix-only", value)
 }
 
+// logTime has milliseconds: the lines of several nodes are put in order by their times.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // Logger returns a logger that writes JSON lines at the level.
 func Logger(level string) *logrus.Logger {
 	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
 		parsed = logrus.InfoLevel
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,10 +1,12 @@
 package settings
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -34,3 +36,13 @@
 	_, err := Node(path)
 	assert.NilError(t, err)
 }
+
+// Guards against lines of several nodes that cannot be put in order, because their times are whole seconds.
+func TestLogTimesHaveMilliseconds(t *testing.T) {
+	var out bytes.Buffer
+	logger := Logger("info")
+	logger.SetOutput(&out)
+	at := time.Date(2026, 1, 2, 3, 4, 5, 678e6, time.UTC)
+	logger.WithTime(at).Info("x")
+	assert.Assert(t, strings.Contains(out.String(), `"time":"2026-01-02T03:04:05.678Z"`), out.String())
+}
