Keep the fleet when another node takes over the orders

Cause: a new holder of the duties that did not see the first start began with no fleet on record and no peak. After a loss of all nodes it planned for the minimum until it had seen load for 3 s.

The holder now takes the fleet it finds as that of the holder before: the number of servers until the load is known, and the peak it was planned for, which decays as any peak. No order goes out before the servers are known.

--- a/internal/edge/duties_test.go
+++ b/internal/edge/duties_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"maps"
 	"testing"
 	"time"
@@ -90,3 +91,36 @@
 	// for changes of the configuration and the nodes a few times a minute.
 	assert.Assert(t, perSecond < 9, "%.1f calls a second", perSecond)
 }
+
+// Guards against nodes that all start anew and shrink the fleet to its minimum, because they have seen no load yet.
+func TestRestartedNodesKeepTheFleet(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	const domains, each = 2, 15
+	d.extra = []map[string]any{{"name": "writer", "health_path": "/h", "max_conns": 50,
+		"engine_type": map[string]any{"slots": 8, "kv_capacity": 100000},
+		"scaling":     map[string]any{"min": 1, "max": 40, "boot_s": 1, "spot_price": 0.15, "zone_prices": map[string]float64{"domain-a": 1, "domain-b": 1}}}}
+	d.configure()
+	for i := range domains * each {
+		domain := []string{"domain-a", "domain-b"}[i%domains]
+		d.store.Put("servers", fmt.Sprintf("writer-%d", i), map[string]any{"service": "writer", "address": fmt.Sprintf("127.0.0.1:%d", i+1),
+			"zone": domain, "version": "v1", "slots": 8, "state": "ready", "spot_allowed": true, "sequence": 1, "born": 1000})
+	}
+	d.node()
+	orders := func() map[string]int {
+		counts := map[string]int{}
+		for _, c := range d.duties.Calls() {
+			if c.Service == "writer" && c.Reclaimable {
+				if before, ok := counts[c.Zone]; !ok || c.Count < before {
+					counts[c.Zone] = c.Count
+				}
+			}
+		}
+		return counts
+	}
+	eventually(t, 5*time.Second, "nothing is ordered", func() bool { return len(orders()) == domains })
+	time.Sleep(2 * time.Second)
+	for domain, count := range orders() {
+		assert.Assert(t, count >= each, "%s: %d", domain, count)
+	}
+}
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -16,7 +16,7 @@
 // orderServers orders what the plan asks for and was not ordered lately.
 func (h *dutyHolder) orderServers(ctx context.Context, now time.Time) {
 	c := h.n.config.Load()
-	if c == nil {
+	if c == nil || !h.n.servers.known.Load() {
 		return
 	}
 	for _, service := range c.Services {
@@ -36,20 +36,13 @@
 
 // planInput gathers the load and the servers of a service.
 func (h *dutyHolder) planInput(service *serving.Service, now time.Time) elastic.Input {
-	smoother := h.loads[service.Name]
+	smoother, first := h.loads[service.Name], false
 	if smoother == nil {
+		first = true
 		smoother = &elastic.Smoother{RiseHalfLife: loadRise, FallHalfLife: loadFall, PeakHalfLife: peakFall}
 		h.loads[service.Name] = smoother
 	}
 	in := elastic.Input{Service: service.Name, Min: service.Scaling.Min, Max: service.Scaling.Max}
-	// Slots that are taken count as work: short streams can fill all slots of engines that are otherwise idle.
-	taken, _ := h.n.board.Pressure(service.Name, now)
-	load := max(h.n.engineLoad(service.Name, now), taken*float64(len(h.n.board.Servers(service.Name))))
-	if load > 0 && h.loadSince.IsZero() {
-		h.loadSince = now
-	}
-	in.Load, in.Peak = smoother.Observe(load, now)
-	in.Known = !h.loadSince.IsZero() && (now.Sub(h.loadSince) > loadSettle || now.Sub(h.n.started) > fleetStart)
 	index := map[string]int{}
 	for domain, price := range service.Scaling.DomainPrices {
 		index[domain] = len(in.Domains)
@@ -67,23 +60,38 @@
 			in.Domains[i].Lasting++
 		}
 	}
-	h.noteFleet(service.Name, in, now)
+	h.noteFleet(service.Name, in, smoother, first, now)
 	in.Initial = h.initial[service.Name]
+	// Slots that are taken count as work: short streams can fill all slots of engines that are otherwise idle.
+	taken, _ := h.n.board.Pressure(service.Name, now)
+	load := max(h.n.engineLoad(service.Name, now), taken*float64(len(h.n.board.Servers(service.Name))))
+	if load > 0 && h.loadSince.IsZero() {
+		h.loadSince = now
+	}
+	in.Load, in.Peak = smoother.Observe(load, now)
+	in.Known = !h.loadSince.IsZero() && (now.Sub(h.loadSince) > loadSettle || now.Sub(h.n.started) > fleetStart)
 	return in
 }
 
-// noteFleet remembers the servers present at the begin of the term. Lasting ones may register late.
-func (h *dutyHolder) noteFleet(service string, in elastic.Input, now time.Time) {
+// noteFleet records the servers that are there at the begin of the term. When the whole deployment starts they are still
+// registering; later the fleet is that of the holder before, who knew the load.
+func (h *dutyHolder) noteFleet(service string, in elastic.Input, smoother *elastic.Smoother, first bool, now time.Time) {
 	reclaimable, lasting := 0, 0
 	for _, d := range in.Domains {
 		reclaimable += d.Reclaimable
 		lasting += d.Lasting
 	}
-	if !h.n.settings.FirstStart || now.Sub(h.n.started) > fleetStart || h.n.servers.quietFor(now) >= fleetSettle {
+	needed := lasting + elastic.Needed(reclaimable)
+	inherited := !h.n.settings.FirstStart || now.Sub(h.n.started) > fleetStart
+	if first && inherited {
+		h.initial[service] = needed
+		smoother.Inherit(needed)
+	}
+	if inherited || h.n.servers.quietFor(now) >= fleetSettle {
 		h.settled[service] = true
 	}
 	if !h.settled[service] {
-		h.initial[service] = lasting + elastic.Needed(reclaimable)
+		h.initial[service] = needed
 	}
 }
 
--- a/pkg/elastic/elastic.go
+++ b/pkg/elastic/elastic.go
@@ -181,6 +181,11 @@
 	at                                       time.Time
 }
 
+// Inherit takes over a fleet that an earlier planner has ordered: its peak is the load for which such a fleet is planned,
+// in fully used servers. Without it a planner that starts while callers are away, as after the loss of all nodes, would
+// give up servers whose load returns within seconds.
+func (s *Smoother) Inherit(needed int) { s.peak = float64(needed) * peakUse }
+
 // Observe takes the load now and returns its mean and peak.
 func (s *Smoother) Observe(load float64, now time.Time) (mean, peak float64) {
 	if s.at.IsZero() {
--- a/pkg/elastic/elastic_test.go
+++ b/pkg/elastic/elastic_test.go
@@ -111,3 +111,17 @@
 	_, lasting = totals(Plan(in))
 	assert.Assert(t, float64(lasting) >= in.Load)
 }
+
+// Guards against a planner that takes over in a lull, or after the loss of all nodes, and gives up the fleet that it finds.
+func TestTakeoverKeepsTheFleet(t *testing.T) {
+	s := Smoother{RiseHalfLife: time.Second, FallHalfLife: 4 * time.Second, PeakHalfLife: 12 * time.Second}
+	in := Input{Known: true, Min: 1, Max: 60, Domains: fourDomains(30, 0)}
+	s.Inherit(Needed(120))
+	now := time.Unix(1000, 0)
+	in.Load, in.Peak = s.Observe(2, now)
+	reclaimable, _ := totals(Plan(in))
+	assert.Assert(t, reclaimable >= 118, "%d", reclaimable)
+	in.Load, in.Peak = s.Observe(2, now.Add(time.Minute))
+	reclaimable, _ = totals(Plan(in))
+	assert.Assert(t, reclaimable < 40, "%d are kept for ever", reclaimable)
+}
