--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -5,6 +5,7 @@
 	"io"
 	stdlog "log"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 	"github.com/pollenlug/pollenlug/pkg/strike"
@@ -40,10 +42,13 @@
 	servers map[string]serving.Server
 	// records are those to tell the other nodes, newest last.
 	records []strike.Change
+	// logged has the last record that was logged of each digest; a record is told again without a change while peers lack
+	// a part of it.
+	logged map[string]strike.Record
 }
 
 func newCrashGuard(log *logrus.Entry) *crashGuard {
-	return &crashGuard{log: log, servers: map[string]serving.Server{}, tracker: strike.New(strike.Options{Window: crashWindow,
+	return &crashGuard{log: log, servers: map[string]serving.Server{}, logged: map[string]strike.Record{}, tracker: strike.New(strike.Options{Window: crashWindow,
 		Delay: crashDelay, Linger: crashLinger, Expiry: crashExpiry, MaxRecords: crashMax})}
 }
 
@@ -60,8 +65,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, c := range changes {
-		g.log.WithFields(logrus.Fields{"digest": c.Digest, "servers": c.Record.Servers, "quarantined": c.Record.Quarantined}).
-			Info("record of a request on crashed servers changed")
+		g.logChange(c)
 		for i, old := range g.records {
 			if old.Digest == c.Digest {
 				g.records = append(g.records[:i], g.records[i+1:]...)
@@ -75,6 +79,19 @@
 	}
 }
 
+func (g *crashGuard) logChange(c strike.Change) {
+	before, ok := g.logged[c.Digest]
+	if ok && before.Quarantined == c.Record.Quarantined && slices.Equal(before.Servers, c.Record.Servers) {
+		return
+	}
+	if len(g.logged) >= crashMax {
+		clear(g.logged)
+	}
+	g.logged[c.Digest] = c.Record
+	g.log.WithFields(logrus.Fields{"digest": c.Digest, logline.Servers: c.Record.Servers, "quarantined": c.Record.Quarantined}).
+		Info(logline.CrashRecord)
+}
+
 func (g *crashGuard) export() []*pb.CrashRecord {
 	g.mu.Lock()
 	defer g.mu.Unlock()
