config check: also settings files and configuration rows of the platform

A row that nodes accept can still name a service that is not configured, a prefix without slashes, two routes on one path or a key of two workspaces; an operator learned of it from failing requests. The command prints each as file: field: reason and ends with 1.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,17 +64,22 @@
 }
 
 func configCommand() *command {
-	c := newCommand("config", "Works on an operators' folder.")
+	c := newCommand("config", "Works on an operators' folder, or on the files of the users' platform.")
 	check := flaggy.NewSubcommand("check")
 	check.Description = "Merges the folder and prints the result, or each fault as file: field: reason."
-	dir := ""
-	check.AddPositionalValue(&dir, "DIR", 1, true, "The folder.")
+	dir, platformFiles := "", platformFiles{}
+	check.AddPositionalValue(&dir, "DIR", 1, false, "The folder.")
+	check.String(&platformFiles.settings, "s", "settings", "A settings file of the platform to check.")
+	check.String(&platformFiles.row, "r", "row", "A file with a configuration row of the platform's store to check.")
 	c.parsed.AttachSubcommand(check, 1)
 	c.run = func(stdout, stderr io.Writer) int {
-		if !check.Used {
-			fmt.Fprintln(stderr, "usage: pollenlug config check DIR")
+		if !check.Used || (dir == "") == (platformFiles == noPlatformFiles) {
+			fmt.Fprintln(stderr, "usage: pollenlug config check DIR, or pollenlug config check [--settings FILE] [--row FILE]")
 			return ExitUsage
 		}
+		if dir == "" {
+			return RunPlatformCheck(platformFiles, stdout)
+		}
 		return RunConfigCheck(dir, stdout)
 	}
 	return c
--- a/internal/cli/configcheck_test.go
+++ b/internal/cli/configcheck_test.go
@@ -27,3 +27,30 @@
 	assert.Equal(t, RunConfigCheck(filepath.Join(dir, "missing"), &missing), ExitFault)
 	assert.Assert(t, strings.HasPrefix(missing.String(), "(folder): (file): read configuration directory: "))
 }
+
+// Guards against a row or a settings file that is checked with success, or without a word on the field, and then fails.
+func TestPlatformCheck(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	check := func(files platformFiles) (string, int) {
+		var out strings.Builder
+		code := RunPlatformCheck(files, &out)
+		return strings.ReplaceAll(out.String(), dir+"/", ""), code
+	}
+	route := `{"name":"r","hostname":"h.example","prefix":"/x/","route_kind":"idempotent","service":"s"}`
+	out, exit := check(platformFiles{row: write("good.json", `{"version":1,"routes":[`+route+`],"services":[{"name":"s"}]}`)})
+	assert.Equal(t, out, "")
+	assert.Equal(t, exit, ExitOK)
+	out, exit = check(platformFiles{row: write("bad.json", `{"version":1,"routes":[`+route+`]}`)})
+	assert.Equal(t, out, "bad.json: routes.r.service: \"s\" is not configured\n")
+	assert.Equal(t, exit, ExitFault)
+	out, _ = check(platformFiles{row: write("kind.json", `{"version":1,"routes":[{"name":"r","route_kind":"odd"}]}`)})
+	assert.Equal(t, out, "kind.json: configuration: routes[0]: route_kind: \"odd\" is unknown\n")
+	out, exit = check(platformFiles{settings: write("settings.json", `{"node_name":"n"}`)})
+	assert.Equal(t, out, "settings.json: internal_ports: is missing\n")
+	assert.Equal(t, exit, ExitFault)
+}
--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -19,7 +19,7 @@
 		Ready: n.informed(), Leaving: n.stopping.Load(),
 		ConfigVersion: n.config.Version(), Servers: n.servers.state(now),
 		Crashes: n.crashes.export(), Demand: n.demand.export(now), HoldsDuties: n.holdsDuties.Load(),
-		Changes: n.servers.tell(n.peers.beatInterval(), now),
+		StoreLost: n.peers.turn.lost.Load() > 0, Changes: n.servers.tell(n.peers.beatInterval(), now),
 	}
 	for id, load := range n.board.Own(now) {
 		b.Loads = append(b.Loads, &pb.ServerUse{Server: nameHash(id), Running: uint32(load.Running),
--- a/internal/edge/configview.go
+++ b/internal/edge/configview.go
@@ -3,27 +3,17 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 )
 
-const (
-	// configPoll is the wait of one long poll. Keep-alive probes find a silent connection sooner, and peers tell newer
-	// versions.
-	configPoll = 20 * time.Second
-	// storeRetry is the pause after a failed read of the store; refused calls are charged as well.
-	storeRetry = 400 * time.Millisecond
-)
-
 // configView holds the configuration in force on this node. Its version never falls.
 type configView struct {
 	store   Store
@@ -32,6 +22,7 @@
 	log     *logrus.Entry
 	// changed is called after each change, before requests see it.
 	changed func(*serving.Config)
+	turn    *storeTurn
 
 	current atomic.Pointer[serving.Config]
 	mu      sync.Mutex // guards raw and the change of current
@@ -75,22 +66,14 @@
 	return nil
 }
 
-// follow reads the configuration and waits for changes until ctx ends.
+// follow reads the configuration and, while it is this node's turn, waits for changes, until ctx ends.
 func (v *configView) follow(ctx context.Context) {
-	link := dependency{log: v.log, name: "store configuration"}
-	since := uint64(0)
-	for ctx.Err() == nil {
-		var err error
-		if since, err = v.step(ctx, since); err != nil && ctx.Err() == nil {
-			link.lost(err)
-			clock.Sleep(ctx, storeRetry)
-			continue
-		}
-		link.regained()
-	}
+	link := dependency{log: v.log, name: "store configuration", lost: v.turn.lost}
+	v.turn.follow(ctx, &link, v.step)
 }
 
-func (v *configView) step(ctx context.Context, since uint64) (uint64, error) {
+// step reads what has changed since a version, waiting for it up to a time.
+func (v *configView) step(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
 	if since == 0 {
 		rows, version, err := v.store.Snapshot(ctx, v.names.OperatorTable)
 		if err != nil {
@@ -101,7 +84,7 @@
 		}
 		return version, nil
 	}
-	changes, version, err := v.store.Changes(ctx, v.names.OperatorTable, since, configPoll)
+	changes, version, err := v.store.Changes(ctx, v.names.OperatorTable, since, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return 0, nil
 	}
@@ -125,24 +108,3 @@
 		v.log.WithError(err).WithField("row_version", row.Version).Error(logline.ConfigRowBroken)
 	}
 }
-
-// dependency logs each loss and return of something a node depends on, once.
-type dependency struct {
-	log   *logrus.Entry
-	name  string
-	since time.Time
-}
-
-func (d *dependency) lost(err error) {
-	if d.since.IsZero() {
-		d.since = time.Now()
-		d.log.WithError(err).WithField(logline.Dependency, d.name).Warning(logline.DependencyLost)
-	}
-}
-
-func (d *dependency) regained() {
-	if !d.since.IsZero() {
-		d.log.WithFields(logrus.Fields{logline.Dependency: d.name, "after": fmt.Sprint(time.Since(d.since))}).Info(logline.DependencyBack)
-		d.since = time.Time{}
-	}
-}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -91,7 +91,7 @@
 
 // mayAskForDuties reports whether this node is one of those that ask when nobody is heard of that holds the lease.
 func (n *Node) mayAskForDuties() bool {
-	return !n.peers.holderHeard(time.Now()) && n.peers.rank() < dutyCandidates
+	return !n.peers.holderHeard(time.Now()) && n.peers.position() < dutyCandidates
 }
 
 // askForDuties waits for the lease until another node has it.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -107,7 +107,9 @@
 	n.fetcher = newFetcher(n.config, n.servers, o.Log)
 	n.peers = &peers{self: o.Settings.Node, addr: o.Settings.PeerAddr, store: o.Store, log: o.Log, started: now.UnixMilli(),
 		compose: n.beat, usage: n.usageBeat, heard: n.heard, left: n.peerLeft, nodes: map[string]*peerNode{}, largest: 1, news: make(chan struct{}, 1)}
-	n.servers.rank, n.servers.beat, n.servers.news = n.peers.rank, n.peers.beatInterval, n.peers.sendSoon
+	turn := &storeTurn{position: n.peers.position, place: n.peers.place, lost: &atomic.Int32{}}
+	n.peers.turn, n.config.turn, n.servers.turn = turn, turn, turn
+	n.servers.beat, n.servers.news = n.peers.beatInterval, n.peers.sendSoon
 	return n
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -14,7 +14,6 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/platform"
@@ -36,8 +35,6 @@
 	maxBeat = 60 << 10
 	// nodeTable is the table by which nodes find each other.
 	nodeTable = "nodes"
-	// nodePoll is the wait of one long poll of the nodes' rows.
-	nodePoll = 20 * time.Second
 	// staleRow is how long a node must be silent before the holder of the duties removes its row.
 	staleRow = 20 * time.Second
 	// beatBuffer is the receive buffer of the datagram socket.
@@ -75,7 +72,9 @@
 	nodes  map[string]*peerNode // by name; seeds by address until their name is known
 	ownRow uint64
 	// news asks for a beat before the interval ends.
-	news    chan struct{}
+	news chan struct{}
+	// turn decides when this node reads the nodes' rows.
+	turn    *storeTurn
 	largest int // most nodes seen alive together, this one included
 }
 
@@ -164,15 +163,25 @@
 	return false
 }
 
-// rank is this node's position among the nodes alive that are not leaving.
-func (p *peers) rank() int {
-	rank := 0
+// place is this node's position in the order of names among the nodes alive that are not leaving.
+func (p *peers) place() int {
+	return p.before(func(b *pb.PeerBeat) bool { return b.Node < p.self })
+}
+
+// position is this node's place among those that have the store. A node that has lost it comes after them.
+func (p *peers) position() int {
+	lost := p.turn.lost.Load() > 0
+	return p.before(func(b *pb.PeerBeat) bool { return !b.StoreLost && (lost || b.Node < p.self) })
+}
+
+func (p *peers) before(earlier func(*pb.PeerBeat) bool) int {
+	count := 0
 	for _, b := range p.alive(time.Now()) {
-		if b.Node < p.self && !b.Leaving {
-			rank++
+		if !b.Leaving && earlier(b) {
+			count++
 		}
 	}
-	return rank
+	return count
 }
 
 // run sends and receives beats until ctx ends.
@@ -234,10 +243,10 @@
 	out := map[string]bool{}
 	rank := 0
 	for _, b := range p.alive(now) {
-		if b.HoldsDuties || rank < dutyCandidates {
+		if b.HoldsDuties || (rank < dutyCandidates && !b.StoreLost) {
 			out[b.PeerAddr] = true
 		}
-		if !b.Leaving {
+		if !b.Leaving && !b.StoreLost {
 			rank++
 		}
 	}
@@ -321,22 +330,14 @@
 	p.heard(beat, now)
 }
 
-// register writes this node's row and follows the rows of the others until ctx ends.
+// register writes this node's row and reads those of the others; while it is this node's turn, it waits for changes.
+// Nodes that are not told of a new one by the store hear of it, because it reads their rows.
 func (p *peers) register(ctx context.Context) {
-	link := dependency{log: p.log, name: "store nodes"}
-	since := uint64(0)
-	for ctx.Err() == nil {
-		var err error
-		if since, err = p.followRows(ctx, since); err != nil && ctx.Err() == nil {
-			link.lost(err)
-			clock.Sleep(ctx, storeRetry)
-			continue
-		}
-		link.regained()
-	}
+	link := dependency{log: p.log, name: "store nodes", lost: p.turn.lost}
+	p.turn.follow(ctx, &link, p.followRows)
 }
 
-func (p *peers) followRows(ctx context.Context, since uint64) (uint64, error) {
+func (p *peers) followRows(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
 	if since == 0 {
 		if err := p.writeRow(ctx); err != nil {
 			return 0, err
@@ -350,7 +351,7 @@
 		}
 		return version, nil
 	}
-	changes, version, err := p.store.Changes(ctx, nodeTable, since, nodePoll)
+	changes, version, err := p.store.Changes(ctx, nodeTable, since, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return 0, nil
 	}
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -1,13 +1,19 @@
 package edge
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/platform"
 )
 
 // Guards against beats of an earlier life that arrive late, and against a node that is never heard of again because its
@@ -30,3 +36,69 @@
 	assert.Equal(t, len(p.alive(now)), 1)
 	assert.Equal(t, len(p.alive(now.Add(time.Minute))), 0)
 }
+
+// Guards against calls to the store that grow with the number of nodes, and against nobody reading when those whose turn
+// it is have lost the store.
+func TestFewNodesReadTheStore(t *testing.T) {
+	const nodes = 60
+	now := time.Now()
+	reading := func(lost func(i int) bool) (readers int) {
+		for self := range nodes {
+			p := &peers{self: fmt.Sprintf("n-%02d", self), nodes: map[string]*peerNode{}, largest: nodes}
+			p.turn = &storeTurn{position: p.position, place: p.place, lost: &atomic.Int32{}}
+			if lost(self) {
+				p.turn.lost.Add(1)
+			}
+			for i := range nodes {
+				if name := fmt.Sprintf("n-%02d", i); i != self {
+					p.nodes[name] = &peerNode{beat: &pb.PeerBeat{Node: name, StoreLost: lost(i)}, heardAt: now}
+				}
+			}
+			if p.turn.reads() && !lost(self) {
+				readers++
+			}
+		}
+		return readers
+	}
+	assert.Equal(t, reading(func(int) bool { return false }), storeReaders)
+	assert.Equal(t, reading(func(i int) bool { return i < 26 }), storeReaders)
+	assert.Equal(t, reading(func(i int) bool { return i < nodes-2 }), 2)
+	alone := &peers{self: "n", nodes: map[string]*peerNode{}}
+	alone.turn = &storeTurn{position: alone.position, place: alone.place, lost: &atomic.Int32{}}
+	assert.Assert(t, alone.turn.reads())
+}
+
+// Guards against a node that waits 20 s with its first call after an outage, while the others take the store for lost
+// there, and against nodes that all ask a store that refuses several times a second.
+func TestReturnOfTheStoreIsNoticedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		lost := &atomic.Int32{}
+		turn := &storeTurn{position: func() int { return 30 }, place: func() int { return 30 }, lost: lost}
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		link := dependency{log: logrus.NewEntry(logger), lost: lost}
+		var fails atomic.Bool
+		fails.Store(true)
+		var calls atomic.Int32
+		var waits []time.Duration // read when the calls have ended
+		go turn.follow(ctx, &link, func(_ context.Context, since uint64, wait time.Duration) (uint64, error) {
+			calls.Add(1)
+			if fails.Load() {
+				return since, platform.ErrUnavailable
+			}
+			waits = append(waits, wait)
+			return 7, nil
+		})
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, calls.Load() < 25, "%d calls", calls.Load())
+		assert.Equal(t, lost.Load(), int32(1))
+		fails.Store(false)
+		time.Sleep(2*storeProbe + time.Second)
+		assert.Equal(t, lost.Load(), int32(0))
+		cancel()
+		synctest.Wait()
+		assert.DeepEqual(t, waits, []time.Duration{0})
+	})
+}
--- a/internal/edge/serverview.go
+++ b/internal/edge/serverview.go
@@ -59,8 +59,8 @@
 	log     *logrus.Entry
 	// changed is called with all servers after each change.
 	changed func([]serving.Server)
-	// rank is the position of this node among those that read, beat the interval at which it hears of their reads.
-	rank func() int
+	// turn has the position of this node among those that read, beat is the interval at which it hears of their reads.
+	turn *storeTurn
 	beat func() time.Duration
 
 	// known is set when the view was read or taken over once.
@@ -105,7 +105,7 @@
 
 // follow reads the rows when it is this node's turn, until ctx ends.
 func (v *serverView) follow(ctx context.Context) {
-	link := dependency{log: v.log, name: "store servers"}
+	link := dependency{log: v.log, name: "store servers", lost: v.turn.lost}
 	for clock.Sleep(ctx, readTick) {
 		now := time.Now()
 		v.expire(now)
@@ -113,8 +113,8 @@
 			continue
 		}
 		if err := v.read(ctx); err != nil && ctx.Err() == nil {
-			link.lost(err)
-			clock.Sleep(ctx, storeRetry)
+			link.fail(err)
+			clock.Sleep(ctx, v.turn.pause())
 			continue
 		}
 		link.regained()
@@ -123,7 +123,7 @@
 
 func (v *serverView) due(now time.Time) bool {
 	wait := readInterval
-	if rank := v.rank(); rank > 0 {
+	if rank := v.turn.position(); rank > 0 {
 		gap := max(readGap, beatsMissed*v.beat())
 		wait = min(readInterval+gap+time.Duration(rank-1)*readStep, readLatest-readGap+gap)
 	}
