--- a/internal/edge/configview.go
+++ b/internal/edge/configview.go
@@ -22,7 +22,10 @@
 	log     *logrus.Entry
 	// changed is called after each change, before requests see it.
 	changed func(*serving.Config)
-	turn    *storeTurn
+	// news is called after a change that this node has read from the store: nodes that do not read hear of it in beats,
+	// whose interval grows with their number.
+	news func()
+	turn *storeTurn
 
 	current atomic.Pointer[serving.Config]
 	mu      sync.Mutex // guards raw and the change of current
@@ -103,7 +106,12 @@
 	if row.Key != v.names.ConfigKey {
 		return
 	}
-	if err := v.accept(row.Value, "store"); err != nil && v.badRow != row.Version {
+	before := v.Version()
+	err := v.accept(row.Value, "store")
+	if v.Version() > before {
+		v.news()
+	}
+	if err != nil && v.badRow != row.Version {
 		v.badRow = row.Version
 		v.log.WithError(err).WithField("row_version", row.Version).Error(logline.ConfigRowBroken)
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -109,7 +109,7 @@
 		compose: n.beat, usage: n.usageBeat, heard: n.heard, left: n.peerLeft, nodes: map[string]*peerNode{}, largest: 1, news: make(chan struct{}, 1)}
 	turn := &storeTurn{position: n.peers.position, place: n.peers.place, lost: &atomic.Int32{}}
 	n.peers.turn, n.config.turn, n.servers.turn = turn, turn, turn
-	n.servers.beat, n.servers.news = n.peers.beatInterval, n.peers.sendSoon
+	n.servers.beat, n.servers.news, n.config.news = n.peers.beatInterval, n.peers.sendSoon, n.peers.sendSoon
 	return n
 }
 
