Keep the configuration's limits on the time of headers, bodies and idle connections

The limits were read but not used: a header was bounded by a constant 5 s, an idle connection by 3 min, and a body by nothing, so a caller that sent one byte a minute held a connection and its share of memory. Headers and idle connections are now closed by the configuration in force, and a body that has not arrived when the request's time is over gets 408.

The new test fails before: no answer to the slow body within 5 s.

--- /dev/null
+++ b/internal/edge/callerconns_test.go
@@ -0,0 +1,64 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against callers that hold connections by sending a header or a body slowly or not at all, and against closing
+// connections that callers may still use.
+func TestSlowAndIdleCallers(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.callerLimits = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 600, "idle_timeout_ms": 1500}
+	d.configure()
+	d.serve("desk-1", "desk", 0)
+	n := d.node()
+	dial := func(text string) (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", n.settings.CallerAddr)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = conn.Write([]byte(text))
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		return conn, bufio.NewReader(conn)
+	}
+	request := func(deadline, length int, body string) string {
+		return fmt.Sprintf("POST /book/1 HTTP/1.1\r\nHost: %s\r\nPollenlug-Attempt-Id: slow-%d\r\nPollenlug-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+			host, attempts.Add(1), deadline, length, body)
+	}
+	begin := time.Now()
+	_, half := dial("POST /book/1 HTTP/1.1\r\nHost:")
+	_, err := half.ReadByte()
+	assert.Assert(t, err != nil, "a header that does not end")
+	assert.Assert(t, time.Since(begin) < 2*time.Second, "the bound on headers is not kept")
+
+	_, reader := dial(request(500, 100, "the first part"))
+	resp, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+
+	conn, reader := dial(request(5000, 3, "abc"))
+	for range 2 {
+		resp, err = http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		time.Sleep(1200 * time.Millisecond) // four fifths of the idle time
+		_, err = conn.Write([]byte(request(5000, 3, "abc")))
+		assert.NilError(t, err)
+	}
+	_, err = http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	time.Sleep(2200 * time.Millisecond)
+	_, err = reader.Discard(1 << 20)
+	assert.ErrorContains(t, err, "EOF", "an idle connection is kept")
+}
--- a/internal/edge/door.go
+++ b/internal/edge/door.go
@@ -60,6 +60,7 @@
 
 // serveRequest takes one request of a caller.
 func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request) {
+	n.callers.serving(r.Context())
 	n.open.Add(1)
 	defer n.open.Add(-1)
 	if n.stopping.Load() {
@@ -127,6 +128,7 @@
 		req.digest = digest(req)
 		return nil
 	}
+	release := n.boundBodyTime(req)
 	whole := r.Body
 	if limit > 0 {
 		if r.ContentLength > int64(limit) {
@@ -149,6 +151,7 @@
 		}
 	}
 	if err == nil {
+		release()
 		req.body = body
 		req.digest = digest(req)
 		return nil
@@ -163,6 +166,19 @@
 	return code.Wrap(code.CallerGone, code.RanNo, "the body did not arrive", err)
 }
 
+// boundBodyTime ends the read of a body that has not arrived when the request's time is over, until release is called. It
+// is not called for a body that did not arrive: the server would wait for the rest before it sends the refusal.
+func (n *Node) boundBodyTime(req *request) (release func()) {
+	controller := http.NewResponseController(req.w)
+	if err := controller.SetReadDeadline(req.deadline); err != nil {
+		n.log.WithError(err).Debug("no deadline for a body")
+	}
+	return func() {
+		// A connection that has ended has no deadline either.
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+}
+
 // bodyTooLarge refuses a body. What the caller is still sending is read for a while: closing a connection with unread
 // bytes resets it, and the caller would not see the refusal.
 func bodyTooLarge(body io.Reader) *code.Error {
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -42,6 +42,8 @@
 	// retrySlack is the number of repeats that are always allowed.
 	retrySlack float64
 	logs       logBuffer
+	// callerLimits are the limits on what callers send.
+	callerLimits map[string]any
 }
 
 // logBuffer keeps the log lines of all nodes.
@@ -74,7 +76,8 @@
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, store: standin.NewStore(), duties: &standin.Duties{}, grace: 500 * time.Millisecond, retrySlack: 50}
+	d := &deployment{t: t, store: standin.NewStore(), duties: &standin.Duties{}, grace: 500 * time.Millisecond, retrySlack: 50,
+		callerLimits: map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 	storeServer, dutyServer := standin.Listen(d.store), standin.Listen(d.duties)
 	t.Cleanup(storeServer.Close)
 	t.Cleanup(dutyServer.Close)
@@ -101,7 +104,7 @@
 		{"name": "engine", "health_path": "/h", "max_conns": 50, "engine_type": map[string]any{"slots": 8, "kv_capacity": 100000}}}
 	services = append(services, d.extra...)
 	d.store.Put("op", "config", map[string]any{"version": d.version, "routes": d.routes, "services": services, "tenants": d.tenants,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+		"limits": d.callerLimits})
 	return d.version
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -69,6 +70,7 @@
 	peers   *peers
 	fetcher *fetcher
 
+	callers  *callerConns
 	client   *httpclient.Client
 	board    *placement.Board
 	outliers *limit.Outliers
@@ -101,6 +103,7 @@
 	n.crashes = newCrashGuard(o.Log)
 	n.demand = newDemandMeter(now)
 	n.memory = newMemoryBound(o.Settings.MemoryBytes)
+	n.callers = &callerConns{log: o.Log, limits: n.callerLimits, conns: map[net.Conn]*callerConn{}}
 	n.config = &configView{store: o.Store, records: o.Records, names: o.Names, log: o.Log, changed: n.configChanged}
 	n.servers = &serverView{store: o.Store, records: o.Records, table: o.Names.ServerTable, log: o.Log,
 		changed: n.serversChanged, entries: map[string]*serverEntry{}}
@@ -127,7 +130,7 @@
 		return err
 	}
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){n.config.follow, n.servers.follow, n.peers.run, n.peers.register, n.crashes.run, n.summarize, n.followUnseen} {
+	for _, run := range []func(context.Context){n.config.follow, n.servers.follow, n.peers.run, n.peers.register, n.crashes.run, n.callers.run, n.summarize, n.followUnseen} {
 		work.Go(func() { run(background) })
 	}
 	dutiesCtx, stopDuties := context.WithCancel(background)
@@ -177,6 +180,9 @@
 		}
 		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 			MaxHeaderBytes: callerHeaderBytes, ErrorLog: discardLog()}
+		if h.addr == n.settings.CallerAddr {
+			n.callers.attach(server)
+		}
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
@@ -187,6 +193,14 @@
 	return servers, nil
 }
 
+// callerLimits are the limits of the configuration in force; none before there is one.
+func (n *Node) callerLimits() serving.Limits {
+	if c := n.config.Load(); c != nil {
+		return c.Limits
+	}
+	return serving.Limits{}
+}
+
 // serves reports whether callers should be sent here.
 func (n *Node) serves() bool { return !n.stopping.Load() && n.informed() }
 
