Move an idle deployment to cheap servers before its first work comes

The maximum of a domain holds for both kinds, so beside 22 lasting servers only 22 reclaimable ones could be ordered at the first start, and the lasting ones stayed until these had booted. Once cheap servers are accepted in a domain and no work has come yet, all but two lasting ones leave it at once.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -163,8 +163,9 @@
 }
 
 type placedOrder struct {
-	count int
-	at    time.Time
+	count    int
+	at       time.Time
+	accepted bool
 }
 
 func (h *dutyHolder) step(ctx context.Context, now time.Time) {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -46,8 +46,10 @@
 	index := map[string]int{}
 	for domain, price := range service.Scaling.DomainPrices {
 		index[domain] = len(in.Domains)
-		in.Domains = append(in.Domains, elastic.Domain{Name: domain, Price: price,
-			Refused: now.Sub(h.refused[service.Name+"/"+domain]) < refusedMemory})
+		placed := h.next[orderKey{service.Name, domain, true}]
+		refused := now.Sub(h.refused[service.Name+"/"+domain]) < refusedMemory
+		in.Domains = append(in.Domains, elastic.Domain{Name: domain, Price: price, Refused: refused,
+			Accepted: placed != nil && placed.accepted})
 	}
 	for _, s := range h.n.board.Servers(service.Name) {
 		i, ok := index[s.Domain]
@@ -68,6 +70,7 @@
 	if load > 0 && h.loadSince.IsZero() {
 		h.loadSince = now
 	}
+	in.Idle = h.loadSince.IsZero() && h.n.settings.FirstStart
 	in.Load, in.Peak = smoother.Observe(load, now)
 	in.Known = !h.loadSince.IsZero() && (now.Sub(h.loadSince) > loadSettle || now.Sub(h.n.started) > fleetStart)
 	return in
@@ -140,5 +143,5 @@
 			h.n.log.WithFields(fields).Info(logline.ServersOrdered)
 		}
 	}
-	h.next[key] = &placedOrder{count: count, at: now}
+	h.next[key] = &placedOrder{count: count, at: now, accepted: err == nil && count > 0}
 }
--- a/pkg/elastic/elastic.go
+++ b/pkg/elastic/elastic.go
@@ -31,8 +31,8 @@
 	Price float64
 	// Reclaimable and Lasting are the servers of each kind that serve and are not leaving.
 	Reclaimable, Lasting int
-	// Refused is set while reclaimable servers were refused here lately.
-	Refused bool
+	// Refused is set while reclaimable servers were refused here lately, Accepted when the last order of some was taken.
+	Refused, Accepted bool
 }
 
 // Input is what a plan depends on.
@@ -43,6 +43,8 @@
 	// Known is false until the load has been seen for a while; Initial is the number of servers needed until then.
 	Known   bool
 	Initial int
+	// Idle is set while a deployment that starts for the first time has seen no work at all.
+	Idle bool
 	// Min and Max bound the servers of a domain.
 	Min, Max int
 	Domains  []Domain
@@ -64,6 +66,8 @@
 	unknownSurplus = 1.2
 	// minServers is kept for a service whatever its load.
 	minServers = 6
+	// idleLasting is how many lasting servers of a domain wait for the first work while reclaimable ones boot there.
+	idleLasting = 2
 )
 
 // Needed returns how many servers a plan needed that keeps a number of reclaimable ones.
@@ -100,10 +104,28 @@
 		// The next domain may be reclaimed before a lasting server has booted, and nothing replaces it.
 		missing = max(missing, int(math.Ceil(in.Load/lossUse))-(alive-largest))
 	}
+	if in.Idle && !in.Known && missing > 0 {
+		planIdle(in, plan)
+		return plan
+	}
 	planLasting(in, missing, plan)
 	return plan
 }
 
+// planIdle replaces most lasting servers of a deployment that has no work yet, before their cheap successors have booted:
+// the maximum of a domain holds for both kinds, so that they could not be ordered beside each other.
+func planIdle(in Input, plan map[string]Counts) {
+	for _, d := range in.Domains {
+		c := plan[d.Name]
+		c.Lasting = d.Lasting
+		if d.Accepted && !d.Refused {
+			c.Lasting = min(d.Lasting, max(idleLasting, in.Min-c.Reclaimable))
+		}
+		c.Reclaimable = min(c.Reclaimable, in.Max-c.Lasting)
+		plan[d.Name] = c
+	}
+}
+
 // planReclaimable spreads reclaimable servers evenly over the domains. A domain that refuses keeps what it has, and
 // the others take its part.
 func planReclaimable(in Input, need int, plan map[string]Counts) {
--- a/pkg/elastic/elastic_test.go
+++ b/pkg/elastic/elastic_test.go
@@ -125,3 +125,32 @@
 	reclaimable, _ = totals(Plan(in))
 	assert.Assert(t, reclaimable < 40, "%d are kept for ever", reclaimable)
 }
+
+// Guards against dear servers that wait for the first work, because the maximum of a domain leaves no room to order cheap
+// ones beside them, and against giving them up where no cheap ones are to be had.
+func TestIdleDeploymentIsMovedToCheapServers(t *testing.T) {
+	in := Input{Initial: 22, Idle: true, Min: 1, Max: 10, Domains: fourDomains(0, 6)}
+	reclaimable, lasting := totals(Plan(in))
+	assert.Equal(t, lasting, 24, "nothing is accepted yet")
+	assert.Equal(t, reclaimable, 16)
+	for i := range in.Domains[:3] {
+		in.Domains[i].Accepted = true
+	}
+	in.Domains[3].Refused = true
+	plan := Plan(in)
+	for _, d := range in.Domains[:3] {
+		assert.Equal(t, plan[d.Name], Counts{Reclaimable: 8, Lasting: idleLasting}, d.Name)
+	}
+	assert.Equal(t, plan["d"].Lasting, 6)
+	for i := range in.Domains {
+		in.Domains[i].Reclaimable = 8
+	}
+	_, lasting = totals(Plan(in))
+	assert.Equal(t, lasting, 0, "the cheap ones serve")
+	in.Idle = false
+	for i := range in.Domains {
+		in.Domains[i].Reclaimable = 0
+	}
+	_, lasting = totals(Plan(in))
+	assert.Assert(t, lasting >= 22, "work has come before they serve")
+}
