--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -42,6 +42,7 @@
 	// retrySlack is the number of repeats that are always allowed.
 	retrySlack float64
 	logs       logBuffer
+	logTo      io.Writer // instead of logs
 	// callerLimits are the limits on what callers send.
 	callerLimits map[string]any
 }
@@ -141,6 +142,9 @@
 	assert.NilError(d.t, s.Check())
 	logger := settings.Logger("info")
 	logger.SetOutput(&d.logs)
+	if d.logTo != nil {
+		logger.SetOutput(d.logTo)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &runningNode{settings: s, stop: cancel, done: make(chan struct{})}
 	node := platform.NewNode(s, logrus.NewEntry(logger).WithField("node", s.Node))
