Pace beats to the speed of slow links; tell news in small ones

A link of 10 Mbit/s drops datagrams while it is full. The holder had not heard of some nodes for 6 s, so counts were missing when a window was made final 1.2 s after its end. Loads and counts of limits were as old.

Ruled out: clocks (log times agree), beats of added nodes only (12 of 86 nodes with 3% of the requests), nodes that send in step (a trial with jitter alone left ages of 6 s and the counts 12% short).

A node now sends 6 KB at a time with pauses of 10 ms, varies its interval, and tells what decisions wait for (versions, changes) in small beats between. Records of crashes are told when they are new, then in turn; all sixteen in each beat were up to 8 KB.

--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -18,7 +18,7 @@
 		CallerAddr: n.settings.CallerAddr, PeerAddr: n.settings.PeerAddr, ControlAddr: n.settings.ControlAddr,
 		Ready: n.informed(), Leaving: n.stopping.Load(),
 		ConfigVersion: n.config.Version(), Servers: n.servers.state(now),
-		Crashes: n.crashes.export(), Demand: n.demand.export(now), HoldsDuties: n.holdsDuties.Load(),
+		Crashes: n.crashes.export(now), Demand: n.demand.export(now), HoldsDuties: n.holdsDuties.Load(),
 		StoreLost: n.peers.turn.lost.Load() > 0, Changes: n.servers.tell(n.peers.beatInterval(), now),
 	}
 	for id, load := range n.board.Own(now) {
@@ -42,6 +42,10 @@
 
 // heard takes what another node tells.
 func (n *Node) heard(beat *pb.PeerBeat, now time.Time) {
+	if beat.NewsOnly {
+		n.fetcher.heard(beat, now)
+		return
+	}
 	name := life(beat.Node, beat.Started)
 	n.board.SetPeer(beat.Node, n.loadsOf(beat), now)
 	n.quota.Heard(name, n.usesOf(beat), now)
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pollenlug/pollenlug/internal/clock"
-
 	"github.com/pollenlug/pollenlug/internal/logline"
 )
 
@@ -38,7 +37,7 @@
 	n.stoppedAt.Store(&begin)
 	n.stopping.Store(true)
 	n.log.WithField("open", n.open.Load()).Info(logline.NodeDraining)
-	n.peers.send()
+	go n.peers.send(context.Background()) // in a large deployment it takes a part of a second
 	stopDuties()
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(n.settings.Grace-endMargin))
 	defer cancel()
--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -29,8 +29,10 @@
 	crashLinger = 1500 * time.Millisecond
 	crashExpiry = 2 * time.Minute
 	crashMax    = 512
-	// crashTold bounds the records in a beat.
-	crashTold = 16
+	// crashKept bounds the records that are told to other nodes. New ones are told for crashNew, several beats; of the
+	// others one a beat in turn, for nodes that have started since.
+	crashKept = 16
+	crashNew  = 2 * time.Second
 )
 
 // crashGuard finds requests that crash the servers they run on; see package strike.
@@ -41,12 +43,20 @@
 	mu      sync.Mutex
 	servers map[string]serving.Server
 	// records are those to tell the other nodes, newest last.
-	records []strike.Change
+	records []toldCrash
+	// turn counts the beats.
+	turn int
 	// logged has the last record that was logged of each digest; a record is told again without a change while peers lack
 	// a part of it.
 	logged map[string]strike.Record
 }
 
+// toldCrash is a record and when it last changed or a peer lacked a part of it.
+type toldCrash struct {
+	strike.Change
+	at time.Time
+}
+
 func newCrashGuard(log *logrus.Entry) *crashGuard {
 	return &crashGuard{log: log, servers: map[string]serving.Server{}, logged: map[string]strike.Record{}, tracker: strike.New(strike.Options{Window: crashWindow,
 		Delay: crashDelay, Linger: crashLinger, Expiry: crashExpiry, MaxRecords: crashMax})}
@@ -55,12 +65,12 @@
 func (g *crashGuard) run(ctx context.Context) {
 	for clock.Sleep(ctx, crashTick) {
 		g.tracker.Tick(time.Now())
-		g.collect()
+		g.collect(time.Now())
 	}
 }
 
 // collect remembers new records for the beats.
-func (g *crashGuard) collect() {
+func (g *crashGuard) collect(now time.Time) {
 	changes := g.tracker.Changes()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -72,10 +82,10 @@
 				break
 			}
 		}
-		g.records = append(g.records, c)
+		g.records = append(g.records, toldCrash{c, now})
 	}
-	if over := len(g.records) - crashTold; over > 0 {
-		g.records = append([]strike.Change(nil), g.records[over:]...)
+	if over := len(g.records) - crashKept; over > 0 {
+		g.records = append([]toldCrash(nil), g.records[over:]...)
 	}
 }
 
@@ -92,12 +102,16 @@
 		Info(logline.CrashRecord)
 }
 
-func (g *crashGuard) export() []*pb.CrashRecord {
+// export returns the records for one beat.
+func (g *crashGuard) export(now time.Time) []*pb.CrashRecord {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make([]*pb.CrashRecord, 0, len(g.records))
-	for _, c := range g.records {
-		out = append(out, &pb.CrashRecord{Digest: c.Digest, Servers: c.Record.Servers, Quarantined: c.Record.Quarantined})
+	g.turn++
+	var out []*pb.CrashRecord
+	for i, c := range g.records {
+		if now.Sub(c.at) < crashNew || g.turn%len(g.records) == i {
+			out = append(out, &pb.CrashRecord{Digest: c.Digest, Servers: c.Record.Servers, Quarantined: c.Record.Quarantined})
+		}
 	}
 	return out
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sort"
@@ -14,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/platform"
@@ -24,6 +26,9 @@
 	beatInterval = 150 * time.Millisecond
 	// beatPerNode lengthens the interval with the number of nodes, so that a node's datagrams a second stay bounded.
 	beatPerNode = 8 * time.Millisecond
+	// beatJitter is the part of the interval by which it varies either way. Nodes that start together would otherwise send
+	// together for good, and a node's receive buffer holds fewer datagrams than a large deployment sends at once.
+	beatJitter = 3
 	// aliveBeats is how many intervals a node may be silent until it counts as gone, at least aliveMin.
 	aliveBeats = 5
 	aliveMin   = time.Second
@@ -37,6 +42,10 @@
 	nodeTable = "nodes"
 	// staleRow is how long a node must be silent before the holder of the duties removes its row.
 	staleRow = 20 * time.Second
+	// paceBytes are sent at once, then the node waits for pacePause: a link that is full drops datagrams, and the slowest
+	// links carry 10 Mbit/s. A node of a large deployment would otherwise lose half of what it sends under load.
+	paceBytes = 6 << 10
+	pacePause = 10 * time.Millisecond
 	// beatBuffer is the receive buffer of the datagram socket.
 	beatBuffer = 256 << 10
 )
@@ -59,6 +68,8 @@
 	store Store
 	log   *logrus.Entry
 	conn  *net.UDPConn
+	// write sends one datagram.
+	write func(data []byte, to netip.AddrPort)
 	// compose builds this node's beat; heard is called with each beat of another node; left when a node has told that
 	// it stops or has started anew.
 	compose func(now time.Time) *pb.PeerBeat
@@ -87,6 +98,10 @@
 	if p.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr)); err != nil {
 		return err
 	}
+	p.write = func(data []byte, to netip.AddrPort) {
+		// A datagram that is lost is followed by the next one; a send that fails is no different.
+		_, _ = p.conn.WriteToUDPAddrPort(data, to)
+	}
 	// The default buffer is kept when the system refuses a larger one.
 	if err := p.conn.SetReadBuffer(beatBuffer); err != nil {
 		p.log.WithError(err).Debug("receive buffer not enlarged")
@@ -187,54 +202,92 @@
 // run sends and receives beats until ctx ends.
 func (p *peers) run(ctx context.Context) {
 	go p.receive()
+	go p.runNews(ctx)
 	defer p.conn.Close()
 	for {
-		p.send()
+		begin := time.Now()
+		p.send(ctx)
+		interval := p.beatInterval()
+		next := interval - interval/beatJitter + rand.N(2*interval/beatJitter)
+		if !clock.Sleep(ctx, next-time.Since(begin)) {
+			return
+		}
+	}
+}
+
+// runNews tells what is new between two beats until ctx ends.
+func (p *peers) runNews(ctx context.Context) {
+	for {
 		select {
-		case <-time.After(p.beatInterval()):
 		case <-p.news:
+			p.sendNews(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// sendSoon sends the next beat at once.
+// sendSoon tells what is new at once.
 func (p *peers) sendSoon() {
 	select {
 	case p.news <- struct{}{}:
-	default: // one is asked for already
+	default: // it is about to be told
 	}
 }
 
 // send sends this node's beat to all others.
-func (p *peers) send() {
+func (p *peers) send(ctx context.Context) {
+	now := time.Now()
+	beat := p.compose(now)
+	data := p.encode(beat)
+	beat.Usage = p.usage(now)
+	full := p.encode(beat)
+	reporters := p.reporters(now)
+	p.pace(ctx, p.targets(now), func(addr string) []byte {
+		if reporters[addr] && full != nil {
+			return full
+		}
+		return data
+	})
+}
+
+// sendNews sends the part of the beat that decisions of others wait for.
+func (p *peers) sendNews(ctx context.Context) {
 	now := time.Now()
 	beat := p.compose(now)
+	beat.NewsOnly = true
+	beat.Loads, beat.Uses, beat.Crashes, beat.Demand = nil, nil, nil, nil
+	data := p.encode(beat)
+	p.pace(ctx, p.targets(now), func(string) []byte { return data })
+}
+
+// encode returns the datagram of a beat, or nil when it cannot be sent.
+func (p *peers) encode(beat *pb.PeerBeat) []byte {
 	data, err := proto.Marshal(beat)
 	if err != nil || len(data) > maxBeat {
 		p.log.WithError(err).WithField("bytes", len(data)).Error("beat cannot be sent")
-		return
-	}
-	beat.Usage = p.usage(now)
-	full, err := proto.Marshal(beat)
-	if err != nil || len(full) > maxBeat {
-		p.log.WithError(err).WithField("bytes", len(full)).Error("usage counts cannot be sent")
-		full = data
+		return nil
 	}
-	reporters := p.reporters(now)
-	for _, addr := range p.targets(now) {
-		data := data
-		if reporters[addr] {
-			data = full
+	return data
+}
+
+// pace sends datagrams no faster than the slowest links carry them.
+func (p *peers) pace(ctx context.Context, addrs []string, datagram func(addr string) []byte) {
+	sent := 0
+	for _, addr := range addrs {
+		data := datagram(addr)
+		if sent += len(data); sent > paceBytes {
+			sent = len(data)
+			if !clock.Sleep(ctx, pacePause) {
+				return
+			}
 		}
 		to, err := netip.ParseAddrPort(addr)
 		if err != nil {
 			p.log.WithError(err).WithField("addr", addr).Debug("address of a node cannot be read")
 			continue
 		}
-		// A datagram that is lost is followed by the next one; a send that fails is no different.
-		_, _ = p.conn.WriteToUDPAddrPort(data, to)
+		p.write(data, to)
 	}
 }
 
@@ -307,13 +360,20 @@
 		p.nodes[beat.Node] = n
 	}
 	before := n.beat
+	if beat.NewsOnly && (before == nil || before.Started != beat.Started) {
+		p.mu.Unlock()
+		return // the whole beat comes soon
+	}
 	// An older life may still be in flight for a moment; later a lower start means that the node's clock was set back.
 	if before != nil && beat.Started < before.Started && now.Sub(n.heardAt) < p.aliveWithin() {
 		p.mu.Unlock()
 		return
 	}
 	returned := before == nil || now.Sub(n.heardAt) > p.aliveWithin() || before.Started != beat.Started
-	n.beat, n.heardAt, n.addr = beat, now, beat.PeerAddr
+	n.heardAt, n.addr = now, beat.PeerAddr
+	if !beat.NewsOnly {
+		n.beat = beat
+	}
 	for name, seed := range p.nodes {
 		if seed.beat == nil && seed.addr == beat.PeerAddr && name != beat.Node {
 			n.rowVersion = max(n.rowVersion, seed.rowVersion)
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -102,3 +103,25 @@
 		assert.DeepEqual(t, waits, []time.Duration{0})
 	})
 }
+
+// Guards against beats that a node sends all at once: in a large deployment they are more than its link carries for a part
+// of a second, and half of them are dropped. Counts of usage, limits and loads were then seconds old.
+func TestBeatsKeepToTheSpeedOfSlowLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, size, linkBytes = 86, 2500, 10e6 / 8
+		begin := time.Now()
+		sent := 0.0
+		p := &peers{write: func(data []byte, _ netip.AddrPort) {
+			sent += float64(len(data))
+			carried := time.Since(begin).Seconds() * linkBytes
+			assert.Assert(t, sent-carried <= paceBytes+size, "%.0f bytes wait for the link", sent-carried)
+		}}
+		var addrs []string
+		for i := range nodes {
+			addrs = append(addrs, fmt.Sprintf("10.0.0.%d:1", i+1))
+		}
+		p.pace(t.Context(), addrs, func(string) []byte { return make([]byte, size) })
+		assert.Equal(t, sent, float64(nodes*size))
+		assert.Assert(t, time.Since(begin) < nodes*beatPerNode, "it takes longer than the interval")
+	})
+}
