Ages in a beat grow while it is sent; slow fetches do not hold others up

Nodes take the youngest age that they hear for their own and pass it on, so the error went round and nodes took views for fresh that nobody read. Before pacing the error was a millisecond a hop.

TestAgesGrowWhileABeatIsSent fails with the age of the composition (100 ms told after 10 ms).

The test now asks a server that was never reached, in a test of its own, with the same status and the same count of runs.

peers.go is split by what it does: sending, rows of the store, what is heard.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -28,8 +28,12 @@
 	// fetchTimeout bounds a fetch from a peer, fetchPause the time until the same view is fetched again.
 	fetchTimeout = time.Second
 	fetchPause   = 100 * time.Millisecond
-	// mostFetches is from how many peers the same view is fetched at once; one of them may be slow or gone.
+	// mostFetches is from how many peers the same view is fetched at once. A fetch that takes longer than slowFetch does
+	// not count any more: connections to several peers may have gone silent at the same time.
 	mostFetches = 2
+	slowFetch   = 200 * time.Millisecond
+	// fetchIdle is how long a connection to a peer is kept; fetches are rare, and a kept one may have gone silent.
+	fetchIdle = time.Second
 	// maxView bounds the size of a view.
 	maxView = 4 << 20
 )
@@ -41,14 +45,13 @@
 	client  *httpclient.Client
 	log     *logrus.Entry
 
-	mu      sync.Mutex
-	busy    map[string]bool // by peer and view
-	running map[string]int  // by view
+	mu   sync.Mutex
+	busy map[string]time.Time // when the fetch under way began, by view and peer
 }
 
 func newFetcher(config *configView, servers *serverView, log *logrus.Entry) *fetcher {
-	return &fetcher{config: config, servers: servers, log: log, busy: map[string]bool{}, running: map[string]int{},
-		client: httpclient.New(httpclient.Options{DialTimeout: fetchTimeout, Dial: netdial.Dial(fetchTimeout)})}
+	return &fetcher{config: config, servers: servers, log: log, busy: map[string]time.Time{},
+		client: httpclient.New(httpclient.Options{DialTimeout: fetchTimeout, IdleTimeout: fetchIdle, Dial: netdial.Dial(fetchTimeout)})}
 }
 
 // heard fetches what a peer has that is newer.
@@ -82,15 +85,8 @@
 // and a whole view is a large part of a second on a slow link.
 func (f *fetcher) fetch(addr, path string, take func([]byte) error) {
 	view, _, _ := strings.Cut(path, "?")
-	key := addr + view
-	f.mu.Lock()
-	refused := f.busy[key] || f.running[view] >= mostFetches
-	if !refused {
-		f.busy[key] = true
-		f.running[view]++
-	}
-	f.mu.Unlock()
-	if refused {
+	key := view + " " + addr
+	if !f.begin(view, key, time.Now()) {
 		return
 	}
 	go func() {
@@ -104,11 +100,30 @@
 		}
 		f.mu.Lock()
 		delete(f.busy, key)
-		f.running[view]--
 		f.mu.Unlock()
 	}()
 }
 
+// begin counts a fetch unless one from the same peer, or enough from others, are under way.
+func (f *fetcher) begin(view, key string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.busy[key]; ok {
+		return false
+	}
+	running := 0
+	for other, began := range f.busy {
+		if strings.HasPrefix(other, view+" ") && now.Sub(began) < slowFetch {
+			running++
+		}
+	}
+	if running >= mostFetches {
+		return false
+	}
+	f.busy[key] = now
+	return true
+}
+
 func (f *fetcher) get(addr, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -1,10 +1,8 @@
 package edge
 
 import (
-	"context"
 	"errors"
 	"hash/fnv"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sort"
@@ -15,10 +13,8 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/pb"
-	"github.com/pollenlug/pollenlug/pkg/platform"
 )
 
 const (
@@ -26,26 +22,11 @@
 	beatInterval = 150 * time.Millisecond
 	// beatPerNode lengthens the interval with the number of nodes, so that a node's datagrams a second stay bounded.
 	beatPerNode = 8 * time.Millisecond
-	// beatJitter is the part of the interval by which it varies either way. Nodes that start together would otherwise send
-	// together for good, and a node's receive buffer holds fewer datagrams than a large deployment sends at once.
-	beatJitter = 3
 	// aliveBeats is how many intervals a node may be silent until it counts as gone, at least aliveMin.
 	aliveBeats = 5
 	aliveMin   = time.Second
-	// quietProbe is how often a node is sent a beat that has not answered for a while.
-	quietProbe = time.Second
-	// forgetNode is how long a silent node is kept that has no row.
-	forgetNode = 30 * time.Second
 	// maxBeat bounds a datagram, below the usual limit of a path.
 	maxBeat = 60 << 10
-	// nodeTable is the table by which nodes find each other.
-	nodeTable = "nodes"
-	// staleRow is how long a node must be silent before the holder of the duties removes its row.
-	staleRow = 20 * time.Second
-	// paceBytes are sent at once, then the node waits for pacePause: a link that is full drops datagrams, and the slowest
-	// links carry 10 Mbit/s. A node of a large deployment would otherwise lose half of what it sends under load.
-	paceBytes = 6 << 10
-	pacePause = 10 * time.Millisecond
 	// beatBuffer is the receive buffer of the datagram socket.
 	beatBuffer = 256 << 10
 )
@@ -199,136 +180,6 @@
 	return count
 }
 
-// run sends and receives beats until ctx ends.
-func (p *peers) run(ctx context.Context) {
-	go p.receive()
-	go p.runNews(ctx)
-	defer p.conn.Close()
-	for {
-		begin := time.Now()
-		p.send(ctx)
-		interval := p.beatInterval()
-		next := interval - interval/beatJitter + rand.N(2*interval/beatJitter)
-		if !clock.Sleep(ctx, next-time.Since(begin)) {
-			return
-		}
-	}
-}
-
-// runNews tells what is new between two beats until ctx ends.
-func (p *peers) runNews(ctx context.Context) {
-	for {
-		select {
-		case <-p.news:
-			p.sendNews(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// sendSoon tells what is new at once.
-func (p *peers) sendSoon() {
-	select {
-	case p.news <- struct{}{}:
-	default: // it is about to be told
-	}
-}
-
-// send sends this node's beat to all others.
-func (p *peers) send(ctx context.Context) {
-	now := time.Now()
-	beat := p.compose(now)
-	data := p.encode(beat)
-	beat.Usage = p.usage(now)
-	full := p.encode(beat)
-	reporters := p.reporters(now)
-	p.pace(ctx, p.targets(now), func(addr string) []byte {
-		if reporters[addr] && full != nil {
-			return full
-		}
-		return data
-	})
-}
-
-// sendNews sends the part of the beat that decisions of others wait for.
-func (p *peers) sendNews(ctx context.Context) {
-	now := time.Now()
-	beat := p.compose(now)
-	beat.NewsOnly = true
-	beat.Loads, beat.Uses, beat.Crashes, beat.Demand = nil, nil, nil, nil
-	data := p.encode(beat)
-	p.pace(ctx, p.targets(now), func(string) []byte { return data })
-}
-
-// encode returns the datagram of a beat, or nil when it cannot be sent.
-func (p *peers) encode(beat *pb.PeerBeat) []byte {
-	data, err := proto.Marshal(beat)
-	if err != nil || len(data) > maxBeat {
-		p.log.WithError(err).WithField("bytes", len(data)).Error("beat cannot be sent")
-		return nil
-	}
-	return data
-}
-
-// pace sends datagrams no faster than the slowest links carry them.
-func (p *peers) pace(ctx context.Context, addrs []string, datagram func(addr string) []byte) {
-	sent := 0
-	for _, addr := range addrs {
-		data := datagram(addr)
-		if sent += len(data); sent > paceBytes {
-			sent = len(data)
-			if !clock.Sleep(ctx, pacePause) {
-				return
-			}
-		}
-		to, err := netip.ParseAddrPort(addr)
-		if err != nil {
-			p.log.WithError(err).WithField("addr", addr).Debug("address of a node cannot be read")
-			continue
-		}
-		p.write(data, to)
-	}
-}
-
-// reporters returns the addresses of the nodes that report usage or may do so next.
-func (p *peers) reporters(now time.Time) map[string]bool {
-	out := map[string]bool{}
-	rank := 0
-	for _, b := range p.alive(now) {
-		if b.HoldsDuties || (rank < dutyCandidates && !b.StoreLost) {
-			out[b.PeerAddr] = true
-		}
-		if !b.Leaving && !b.StoreLost {
-			rank++
-		}
-	}
-	return out
-}
-
-func (p *peers) targets(now time.Time) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	within := p.aliveWithin()
-	var out []string
-	for name, n := range p.nodes {
-		heard := n.heardAt
-		if heard.IsZero() {
-			heard = n.since
-		}
-		silent := now.Sub(heard)
-		if silent > forgetNode && n.rowVersion == 0 {
-			delete(p.nodes, name)
-			continue
-		}
-		if (n.beat != nil && silent < within) || now.Sub(n.sentAt) > quietProbe {
-			n.sentAt = now
-			out = append(out, n.addr)
-		}
-	}
-	return out
-}
-
 func (p *peers) receive() {
 	buffer := make([]byte, maxBeat)
 	for {
@@ -390,128 +241,6 @@
 	p.heard(beat, now)
 }
 
-// register writes this node's row and reads those of the others; while it is this node's turn, it waits for changes.
-// Nodes that are not told of a new one by the store hear of it, because it reads their rows.
-func (p *peers) register(ctx context.Context) {
-	link := dependency{log: p.log, name: "store nodes", lost: p.turn.lost}
-	p.turn.follow(ctx, &link, p.followRows)
-}
-
-func (p *peers) followRows(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
-	if since == 0 {
-		if err := p.writeRow(ctx); err != nil {
-			return 0, err
-		}
-		rows, version, err := p.store.Snapshot(ctx, nodeTable)
-		if err != nil {
-			return 0, err
-		}
-		for _, row := range rows {
-			p.takeRow(row)
-		}
-		return version, nil
-	}
-	changes, version, err := p.store.Changes(ctx, nodeTable, since, wait)
-	if errors.Is(err, platform.ErrHistoryGone) {
-		return 0, nil
-	}
-	if err != nil {
-		return since, err
-	}
-	for _, c := range changes {
-		if !c.Deleted {
-			p.takeRow(c.Row)
-			continue
-		}
-		if c.Key == p.self {
-			// Another node took this one for gone.
-			if err := p.writeRow(ctx); err != nil {
-				return since, err
-			}
-			continue
-		}
-		p.dropRow(c.Key)
-	}
-	return max(version, since), nil
-}
-
-func (p *peers) writeRow(ctx context.Context) error {
-	value, err := proto.Marshal(&pb.NodeRow{Node: p.self, PeerAddr: p.addr, Started: p.started})
-	if err != nil {
-		return err
-	}
-	versions, err := p.store.Commit(ctx, []platform.Mutation{{Table: nodeTable, Key: p.self, Value: value}})
-	if err != nil {
-		return err
-	}
-	p.mu.Lock()
-	p.ownRow = versions[0]
-	p.mu.Unlock()
-	return nil
-}
-
-func (p *peers) takeRow(row platform.Row) {
-	if row.Key == p.self {
-		return
-	}
-	node := &pb.NodeRow{}
-	if err := proto.Unmarshal(row.Value, node); err != nil || node.Node != row.Key {
-		p.log.WithError(err).WithField("key", row.Key).Warning("row of a node cannot be read")
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := p.nodes[row.Key]
-	if n == nil {
-		n = &peerNode{since: time.Now()}
-		p.nodes[row.Key] = n
-	}
-	if n.beat == nil || node.Started > n.beat.Started {
-		n.addr = node.PeerAddr
-	}
-	n.rowVersion = row.Version
-}
-
-func (p *peers) dropRow(key string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n := p.nodes[key]; n != nil {
-		n.rowVersion = 0
-	}
-}
-
-// staleRows returns the rows of nodes that have been silent for long, for the holder of the duties.
-func (p *peers) staleRows(now time.Time) []platform.Mutation {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []platform.Mutation
-	for name, n := range p.nodes {
-		heard := n.heardAt
-		if heard.IsZero() {
-			heard = n.since
-		}
-		if n.rowVersion != 0 && now.Sub(heard) > staleRow {
-			out = append(out, platform.Mutation{Table: nodeTable, Key: name, Delete: true,
-				If: platform.Condition{Kind: platform.VersionIs, Version: n.rowVersion}})
-		}
-	}
-	return out
-}
-
-// unregister removes this node's row.
-func (p *peers) unregister(ctx context.Context) {
-	p.mu.Lock()
-	version := p.ownRow
-	p.mu.Unlock()
-	if version == 0 {
-		return
-	}
-	condition := platform.Condition{Kind: platform.VersionIs, Version: version}
-	if _, err := p.store.Commit(ctx, []platform.Mutation{{Table: nodeTable, Key: p.self, Delete: true, If: condition}}); err != nil {
-		p.log.WithError(err).Warning("own row not removed; the holder of the duties removes it later")
-	}
-}
-
 // life names one life of a node, so that totals of an earlier one are not mixed with those of the next.
 func life(node string, started int64) string { return node + "@" + strconv.FormatInt(started, 10) }
 
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/pollenlug/pollenlug/internal/pb"
@@ -125,3 +127,30 @@
 		assert.Assert(t, time.Since(begin) < nodes*beatPerNode, "it takes longer than the interval")
 	})
 }
+
+// Guards against ages that are too low because a beat is sent over a part of a second. Nodes pass on the youngest age that
+// they hear: a view then seems fresh for good while no node reads the store, and drains are not seen for seconds.
+func TestAgesGrowWhileABeatIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin, sent := time.Now(), 0
+		p := &peers{self: "self", nodes: map[string]*peerNode{}, largest: 86, log: logrus.NewEntry(logrus.New()),
+			usage: func(time.Time) []*pb.UsageWindow { return nil }}
+		p.turn = &storeTurn{position: p.position, place: p.place, lost: &atomic.Int32{}}
+		p.compose = func(time.Time) *pb.PeerBeat {
+			return &pb.PeerBeat{Node: strings.Repeat("x", 2000), Servers: &pb.ServerViewState{Version: 1, AgeMs: 100}}
+		}
+		p.write = func(data []byte, _ netip.AddrPort) {
+			sent++
+			beat := &pb.PeerBeat{}
+			assert.NilError(t, proto.Unmarshal(data, beat))
+			passed := time.Since(begin).Milliseconds()
+			assert.Assert(t, int64(beat.Servers.AgeMs) >= 100+passed, "%d ms after %d ms", beat.Servers.AgeMs, passed)
+		}
+		for i := range 85 {
+			p.nodes[fmt.Sprint(i)] = &peerNode{addr: fmt.Sprintf("10.0.0.%d:1", i+1), since: begin.Add(-time.Minute), rowVersion: 1}
+		}
+		p.send(t.Context())
+		assert.Equal(t, sent, 85)
+		assert.Assert(t, time.Since(begin) > 100*time.Millisecond)
+	})
+}
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -119,9 +119,21 @@
 	got := n.do(t, call{path: "/book/1"})
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, len(s.Runs()), 0)
+}
+
+// Guards against an unknown outcome where no server could be reached. The server is gone before the first request: on a
+// connection kept from an earlier one the request may be sent before its end is noticed, and the outcome is then unknown.
+func TestUnreachableServerHasRunNothing(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	s := d.serve("desk-1", "desk", 0)
+	n := d.node()
 	s.Close()
-	got = n.do(t, call{path: "/book/2"})
+	got := n.do(t, call{path: "/book/1"})
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
 	assert.Equal(t, len(s.Runs()), 0)
 }
 
--- a/internal/edge/viewchanges_test.go
+++ b/internal/edge/viewchanges_test.go
@@ -145,3 +145,16 @@
 		}
 	}
 }
+
+// Guards against a node that learns nothing new for seconds, because the connections to the peers it asks first have gone
+// silent.
+func TestSilentPeersDoNotBlockFetches(t *testing.T) {
+	f := newFetcher(&configView{}, newTestView(nil), logrus.NewEntry(logrus.New()))
+	now := time.Unix(1000, 0)
+	asked := func(peer string) bool { return f.begin(pathServers, pathServers+" "+peer, now) }
+	assert.Assert(t, asked("a") && asked("b"))
+	assert.Assert(t, !asked("a") && !asked("c"))
+	assert.Assert(t, f.begin(pathConfig, pathConfig+" c", now), "another view")
+	now = now.Add(slowFetch)
+	assert.Assert(t, !asked("a") && asked("c") && asked("d") && !asked("e"))
+}
