strike, edge: log noticed crashes, and why strikes are withdrawn or lead to a quarantine

Cause: the log could not tell the hypotheses of the incident apart. It had neither the reason nor the node of a withdrawal, nor a crash that was noticed or missed, nor the digest of a request. Change: a line for each noticed crash with its sign, one for each decision on strikes with its reason and the crashes that led to it, the digest in the line of a request whose connection broke or that is restricted, and two counters. No decision changes. Result: go test of pkg/strike, internal/edge, internal/explain and internal/node passes.

--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -14,6 +14,7 @@
 
 	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/logline"
+	"github.com/pollenlug/pollenlug/internal/metrics"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 	"github.com/pollenlug/pollenlug/pkg/strike"
@@ -40,6 +41,7 @@
 // crashDetector finds requests that crash the servers they run on; see package strike.
 type crashDetector struct {
 	tracker *strike.Tracker
+	metrics *metrics.Set
 	log     *logrus.Entry
 
 	mu      sync.Mutex
@@ -57,8 +59,8 @@
 	updatedAt time.Time
 }
 
-func newCrashDetector(log *logrus.Entry) *crashDetector {
-	return &crashDetector{log: log, servers: map[string]serving.Server{}, lastLogged: map[string]strike.Record{},
+func newCrashDetector(m *metrics.Set, log *logrus.Entry) *crashDetector {
+	return &crashDetector{metrics: m, log: log, servers: map[string]serving.Server{}, lastLogged: map[string]strike.Record{},
 		tracker: strike.New(strike.Options{Window: crashWindow, Delay: crashDelay, Linger: crashLinger, Expiry: crashExpiry, MaxRecords: maxCrashRecords})}
 }
 
@@ -66,6 +68,15 @@
 	for clock.Sleep(ctx, crashCheckInterval) {
 		d.tracker.Tick(time.Now())
 		d.collect(time.Now())
+		d.logDecisions()
+	}
+}
+
+func (d *crashDetector) logDecisions() {
+	for _, decision := range d.tracker.Decisions() {
+		d.metrics.Count("strike_decisions", "verdict", string(decision.Verdict), 1)
+		d.log.WithFields(logrus.Fields{logline.Digest: decision.Digest, logline.Incident: decision.Incident,
+			logline.Verdict: decision.Verdict, logline.Reason: decision.Reason, logline.Related: decision.Related}).Info(logline.StrikeDecision)
 	}
 }
 
@@ -98,7 +109,7 @@
 		clear(d.lastLogged)
 	}
 	d.lastLogged[c.Digest] = c.Record
-	d.log.WithFields(logrus.Fields{"digest": c.Digest, logline.Servers: c.Record.Servers, "quarantined": c.Record.Quarantined}).
+	d.log.WithFields(logrus.Fields{logline.Digest: c.Digest, logline.Servers: c.Record.Servers, "quarantined": c.Record.Quarantined}).
 		Info(logline.CrashRecord)
 }
 
@@ -139,15 +150,23 @@
 	d.servers = current
 	d.mu.Unlock()
 	for _, s := range crashed {
-		d.recordCrash(s, now)
+		d.recordCrash(s, "restarted", now)
 	}
 }
 
 // connRefused records a crash of a server that refuses connections.
-func (d *crashDetector) connRefused(s serving.Server, now time.Time) { d.recordCrash(s, now) }
+func (d *crashDetector) connRefused(s serving.Server, now time.Time) {
+	d.recordCrash(s, "connection_refused", now)
+}
 
-func (d *crashDetector) recordCrash(s serving.Server, now time.Time) {
-	d.tracker.RecordCrash(strike.Crash{Server: s.ID, Domain: s.Domain, Started: s.Born, HadNotice: s.State != serving.Ready}, now)
+func (d *crashDetector) recordCrash(s serving.Server, sign string, now time.Time) {
+	runs, recorded := d.tracker.RecordCrash(strike.Crash{Server: s.ID, Domain: s.Domain, Started: s.Born, HadNotice: s.State != serving.Ready}, now)
+	if !recorded {
+		return
+	}
+	d.metrics.Count("server_crashes", "sign", sign, 1)
+	d.log.WithFields(logrus.Fields{logline.Server: s.ID, "born": s.Born, "failure_domain": s.Domain, logline.Reason: sign, logline.Count: runs}).
+		Info(logline.ServerCrashed)
 }
 
 // bodyMemory limits the memory used by request bodies, in bytes.
--- a/internal/edge/guards_test.go
+++ b/internal/edge/guards_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pollenlug/pollenlug/internal/logline"
+	"github.com/pollenlug/pollenlug/internal/metrics"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/strike"
 )
@@ -21,7 +22,7 @@
 	var out bytes.Buffer
 	logger := logrus.New()
 	logger.SetOutput(&out)
-	g := newCrashDetector(logrus.NewEntry(logger))
+	g := newCrashDetector(metrics.NewSet(), logrus.NewEntry(logger))
 	now := time.Unix(1000, 0)
 	receive := func(servers ...string) {
 		g.merge([]*pb.CrashRecord{{Digest: "d", Servers: servers}}, now)
@@ -42,7 +43,7 @@
 func TestOldCrashRecordsAreSentInRotation(t *testing.T) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	g := newCrashDetector(logrus.NewEntry(logger))
+	g := newCrashDetector(metrics.NewSet(), logrus.NewEntry(logger))
 	now := time.Unix(1000, 0)
 	for i := range 10 {
 		change := strike.Change{Digest: fmt.Sprint(i), Record: strike.Record{Servers: []string{"i-1"}}}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -103,7 +103,7 @@
 	n.outliers = limit.NewOutliers(ejectPercent, time.Now)
 	n.quota = quota.New()
 	n.usage = usage.New(incarnation(o.Settings.Node, now.UnixMilli()), o.Settings.UsageWindow)
-	n.crashes = newCrashDetector(o.Log)
+	n.crashes = newCrashDetector(o.Metrics, o.Log)
 	n.demand = newDemandMeter(now)
 	n.memory = newBodyMemory(o.Settings.MemoryBytes)
 	n.callers = &callerConns{log: o.Log, limits: n.callerLimits, conns: map[net.Conn]*callerConn{}}
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -74,6 +74,9 @@
 		fields[logline.Expected], fields[logline.Left] = req.expected.Milliseconds(), req.refusalTimeLeft.Milliseconds()
 		fields[logline.Target] = req.route.LatencyTarget.Milliseconds()
 	}
+	if req.logDigest {
+		fields[logline.Digest] = req.digest
+	}
 	if req.reason != "" {
 		fields[logline.Reason] = req.reason
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -61,6 +61,7 @@
 	now := time.Now()
 	n.retryWindow(req.service.Name).Request(now)
 	if state, _ := n.crashes.tracker.State(req.digest, now); state == strike.Quarantined || state == strike.Held {
+		req.logDigest = true
 		return code.New(code.RequestQuarantined, "this request has crashed backend servers").WithRetryAfter(crashRetryAfter)
 	}
 	if req.workspace != nil {
@@ -143,6 +144,7 @@
 func (n *Node) sendTo(ctx context.Context, req *request, stream *streamRelay, ticket *placement.Ticket) sendResult {
 	run, ok := n.crashes.tracker.TryStart(ticket.Server.ID, req.digest, time.Now())
 	if !ok {
+		req.logDigest = true
 		ticket.End(placement.Abandoned, time.Now())
 		return sendResult{ticket: ticket, status: notSent, reason: "suspected of crashing servers"}
 	}
@@ -167,6 +169,7 @@
 		n.outliers.Observe(ticket.Server.ID, false)
 		run.End(strike.Completed, now)
 	case responseLost, notSent:
+		req.logDigest = true
 		ticket.End(placement.Failed, now)
 		n.outliers.Observe(ticket.Server.ID, false)
 		run.End(strike.Interrupted, now)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -43,6 +43,7 @@
 	priority  int
 	body      []byte
 	digest    string
+	logDigest bool // the request's connection to a server broke, or it is suspected of crashing servers
 	cost      float64
 
 	// sends counts the servers that the request was sent to; mayHaveRun is set when one of them may have started it.
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -9,6 +9,8 @@
 	ServerChanged       = "server changed"
 	ServerGone          = "server gone"
 	CrashRecord         = "record of a request on crashed servers changed"
+	ServerCrashed       = "crash of a server noticed"
+	StrikeDecision      = "strikes of a request decided"
 	DependencyLost      = "dependency lost"
 	DependencyRegained  = "dependency regained"
 	ConfigInForce       = "configuration in force"
@@ -41,6 +43,10 @@
 	Duration   = "ms"
 	Dependency = "dependency"
 	Count      = "count"
+	Digest     = "digest"
+	Incident   = "incident"
+	Verdict    = "verdict"
+	Related    = "related"
 	// Expected is the estimated time to the first event, Left the time until the caller's deadline and Target the
 	// route's latency target, in ms.
 	Expected = "expected_ms"
--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -115,6 +115,40 @@
 	Record Record
 }
 
+// Verdict is what a node decided on a strike or on a broken connection.
+type Verdict string
+
+// The verdicts. Dropped means that no crash was noticed within Options.Linger after the connection of a run broke.
+const (
+	Withdrawn  Verdict = "withdrawn"
+	Quarantine Verdict = "quarantined"
+	Dropped    Verdict = "dropped"
+)
+
+// Reason is why a node decided so.
+type Reason string
+
+// The reasons.
+const (
+	CompletedRun  Reason = "a run of the request completed"
+	ExternalCause Reason = "the server had a notice or could not be reached"
+	Correlated    Reason = "other servers crashed at nearly the same time"
+	TwoStrikes    Reason = "the request has crashed two servers"
+	NoCrash       Reason = "no crash of the server was noticed"
+)
+
+// Decision is a decision of this node, for its log.
+type Decision struct {
+	Digest, Incident string
+	Verdict          Verdict
+	Reason           Reason
+	// Related holds the incidents that led to the decision, apart from Incident.
+	Related []string
+}
+
+// maxDecisions bounds the decisions kept for Decisions.
+const maxDecisions = 256
+
 // Tracker holds the strikes that one node knows. Its methods may be called concurrently and get the current time from
 // the caller.
 type Tracker struct {
@@ -128,6 +162,7 @@
 	records     map[string]*record
 	crashes     []crash // the last maxCrashes; decided ones for Window plus Delay
 	changed     map[string]bool
+	decisions   []Decision
 }
 
 // Outcome is the way in which a run ended.
@@ -301,15 +336,16 @@
 	}
 	for incident, at := range r.struck {
 		if !at.After(startedAt) {
-			t.withdraw(digest, r, incident, now)
+			t.withdraw(digest, r, incident, CompletedRun, nil, now)
 		}
 	}
 }
 
-func (t *Tracker) withdraw(digest string, r *record, incident string, now time.Time) {
+func (t *Tracker) withdraw(digest string, r *record, incident string, reason Reason, related []string, now time.Time) {
 	if r.withdrawn[incident] {
 		return
 	}
+	t.logDecision(Decision{Digest: digest, Incident: incident, Verdict: Withdrawn, Reason: reason, Related: related})
 	delete(r.struck, incident)
 	r.withdrawn[incident] = true
 	r.changedAt = now
@@ -319,8 +355,9 @@
 // RecordCrash gives a provisional strike to each request in flight on a crashed server. Tick decides on it later. The
 // same crash may be reported again: if HadNotice or Unreachable is set by then, for example because a reclaim notice
 // became known, its strikes are withdrawn. That needs the crash in t.crashes, which holds the last maxCrashes crashes,
-// and decided ones only for Window plus Delay.
-func (t *Tracker) RecordCrash(c Crash, now time.Time) {
+// and decided ones only for Window plus Delay. recorded is false for a known crash; runs is the number of runs in flight
+// on the server.
+func (t *Tracker) RecordCrash(c Crash, now time.Time) (runs int, recorded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	incident := c.incident()
@@ -330,11 +367,12 @@
 			if externalCause {
 				t.withdrawCrash(&t.crashes[i], now)
 			}
-			return
+			return 0, false
 		}
 	}
 	event := crash{incident: incident, domain: c.Domain, at: now, decided: externalCause}
 	for r := range t.running[c.Server] {
+		runs++
 		if !externalCause && !slices.Contains(event.digests, r.digest) {
 			t.addStrike(r.digest, incident, now)
 			event.digests = append(event.digests, r.digest)
@@ -345,17 +383,33 @@
 		t.crashes = t.crashes[1:]
 	}
 	t.crashes = append(t.crashes, event)
+	return runs, true
 }
 
 func (t *Tracker) withdrawCrash(event *crash, now time.Time) {
 	for _, digest := range event.digests {
 		if r := t.records[digest]; r != nil {
-			t.withdraw(digest, r, event.incident, now)
+			t.withdraw(digest, r, event.incident, ExternalCause, nil, now)
 		}
 	}
 	event.decided = true
 }
 
+func (t *Tracker) logDecision(d Decision) {
+	if len(t.decisions) < maxDecisions {
+		t.decisions = append(t.decisions, d)
+	}
+}
+
+// Decisions returns the decisions since the last call, at most maxDecisions of them.
+func (t *Tracker) Decisions() []Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.decisions
+	t.decisions = nil
+	return out
+}
+
 func (t *Tracker) addStrike(digest, incident string, now time.Time) {
 	r := t.recordFor(digest, now)
 	if r.withdrawn[incident] || len(r.struck)+len(r.withdrawn) >= maxIncidents {
@@ -421,6 +475,7 @@
 	for _, runs := range t.interrupted {
 		for _, r := range slices.Clone(runs) {
 			if now.Sub(r.interruptedAt) >= t.opts.Linger {
+				t.logDecision(Decision{Digest: r.digest, Incident: r.server, Verdict: Dropped, Reason: NoCrash})
 				t.removeRun(r)
 			}
 		}
@@ -434,11 +489,12 @@
 		if r == nil {
 			continue
 		}
-		if t.isCorrelated(event, r) {
-			t.withdraw(digest, r, event.incident, now)
+		if related := t.correlated(event, r); related != nil {
+			t.withdraw(digest, r, event.incident, Correlated, related, now)
 			continue
 		}
 		if len(r.struck) >= quarantineStrikes && !r.quarantined {
+			t.logDecision(Decision{Digest: digest, Incident: event.incident, Verdict: Quarantine, Reason: TwoStrikes, Related: r.export().Servers})
 			r.quarantined = true
 			r.changedAt = now
 			t.changed[digest] = true
@@ -446,11 +502,12 @@
 	}
 }
 
-// isCorrelated reports whether a crash is correlated with others, as seen from one request. Only crashes within the
-// window that gave the request no strike count: one in the same failure domain or two anywhere. One anywhere is enough
-// when the request has two strikes, since three servers lost at once indicate a common cause that hit a retried request.
-func (t *Tracker) isCorrelated(event *crash, r *record) bool {
-	others := 0
+// correlated returns the crashes that a crash is correlated with, as seen from one request, or nil. Only crashes within
+// the window that gave the request no strike count: one in the same failure domain or two anywhere. One anywhere is
+// enough when the request has two strikes, since three servers lost at once indicate a common cause that hit a retried
+// request.
+func (t *Tracker) correlated(event *crash, r *record) []string {
+	var others []string
 	for i := range t.crashes {
 		other := &t.crashes[i]
 		if other.incident == event.incident || other.at.Sub(event.at).Abs() > t.opts.Window {
@@ -460,11 +517,14 @@
 			continue
 		}
 		if other.domain == event.domain {
-			return true
+			return []string{other.incident}
 		}
-		others++
+		others = append(others, other.incident)
+	}
+	if len(others) >= 2 || len(others) == 1 && len(r.struck) >= quarantineStrikes {
+		return others
 	}
-	return others >= 2 || others == 1 && len(r.struck) >= quarantineStrikes
+	return nil
 }
 
 // Merge merges the record of a digest received from another node and reports whether this node's record changed.
