--- /dev/null
+++ b/internal/edge/crashing_test.go
@@ -0,0 +1,103 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollenlug/pollenlug/platform/standin"
+)
+
+const (
+	// crashingPath is the target of a request that crashes each server that runs it.
+	crashingPath = "/look/crashing"
+	// serverDowntime is how long a crashed server refuses connections, rowLag how long its row stays after the crash.
+	serverDowntime = 1200 * time.Millisecond
+	rowLag         = 2 * time.Second
+	// After crashesToNotice crashes and another noticePeriod, at most lateRunsAllowed more runs of the request are
+	// accepted; see BUDGET in the users' rules.
+	crashesToNotice = 3
+	noticePeriod    = 3 * time.Second
+	lateRunsAllowed = 3
+)
+
+// crashes records the runs of a request that crashes its servers.
+type crashes struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+// late returns the number of runs later than noticePeriod after crash number crashesToNotice, and of all runs.
+func (c *crashes) late() (late, total int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, at := range c.at {
+		if i >= crashesToNotice && at.Sub(c.at[crashesToNotice-1]) > noticePeriod {
+			late++
+		}
+	}
+	return late, len(c.at)
+}
+
+// serveCrashing starts desk servers that crash when they run a request for crashingPath, and come back under another
+// id.
+func (d *deployment) serveCrashing(servers, domains int) *crashes {
+	record := &crashes{}
+	for i := range servers {
+		domain := fmt.Sprintf("domain-%d", i%domains)
+		name := func(life int) string { return fmt.Sprintf("desk-%d-%d", i, life) }
+		s := standin.NewServer(name(0), 0)
+		d.t.Cleanup(s.Close)
+		d.store.Put("servers", name(0), s.Row("desk", domain, 8, "ready", 1))
+		life := 0
+		s.SetBehavior(func(r *http.Request) standin.Behavior {
+			if r.URL.Path != crashingPath || r.Header.Get("Pollenlug-Expect-Instance") != name(life) {
+				return standin.Behavior{}
+			}
+			record.mu.Lock()
+			defer record.mu.Unlock()
+			record.at = append(record.at, time.Now())
+			old := name(life)
+			life++
+			next := name(life)
+			time.AfterFunc(rowLag, func() { d.store.Delete("servers", old) })
+			time.AfterFunc(serverDowntime, func() {
+				s.Restart(next)
+				d.store.Put("servers", next, s.Row("desk", domain, 8, "ready", 1))
+			})
+			return standin.Behavior{Crash: true}
+		})
+	}
+	return record
+}
+
+// Guards against a crash that no node notices, because the node whose connection broke sends nothing more to the server:
+// the request that caused it then gets no strike and crashes one server after the other.
+func TestRequestThatCrashesServersIsRefusedWithoutOtherTraffic(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	record := d.serveCrashing(8, 4)
+	nodes := []*runningNode{d.node()}
+	for range 3 {
+		nodes = append(nodes, d.node(nodes[0].settings.PeerAddr))
+	}
+	for i := range 24 {
+		nodes[i%len(nodes)].do(t, call{method: http.MethodGet, path: crashingPath})
+		time.Sleep(500 * time.Millisecond)
+	}
+	late, total := record.late()
+	assert.Assert(t, late <= lateRunsAllowed, "%d of %d runs came too late", late, total)
+	for _, n := range nodes {
+		got := n.do(t, call{method: http.MethodGet, path: crashingPath})
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		got = n.do(t, call{method: http.MethodGet, path: "/look/other"})
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Assert(t, strings.HasPrefix(got.body, "answer of desk-"), got.body)
+	}
+}
--- /dev/null
+++ b/pkg/strike/sim_test.go
@@ -0,0 +1,316 @@
+package strike
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Sizes and times of the simulated deployment, which are those of the smaller deployment in docs/CAPACITY.md.
+const (
+	simNodes      = 8
+	simServers    = 22
+	simDomains    = 4
+	simDowntime   = 3 * time.Second
+	simDuration   = 60 * time.Second
+	simAttempts   = 2 // sends of one attempt of a caller; the caller repeats a failed attempt once
+	crashingDelay = 20 * time.Millisecond
+)
+
+// simEvent is a function to call at a time.
+type simEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// simulation runs nodes and servers in virtual time. Nodes notice a crash after 100 to 300 ms and receive each other's
+// records after 20 to 120 ms.
+type simulation struct {
+	rng     *rand.Rand
+	now     time.Time
+	queue   simQueue
+	events  int
+	nodes   []*Tracker
+	servers []simServer
+
+	crashingRuns []time.Time // starts of runs of the request that crashes its servers
+	innocent     int         // other requests
+	refused      int         // of these, held or quarantined when they arrived or before they were sent again
+}
+
+type simServer struct {
+	id, domain string
+	life       int
+	up         bool
+	runs       map[*simRun]bool
+}
+
+type simRun struct {
+	req    *simRequest
+	server int
+	run    *Run
+}
+
+// simRequest is one attempt of a caller.
+type simRequest struct {
+	digest   string
+	crashes  bool
+	duration time.Duration
+	node     int
+	sends    int
+	repeated bool
+}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 18)), now: time.Unix(1000, 0)}
+	for range simNodes {
+		// The options of internal/edge.
+		s.nodes = append(s.nodes, New(Options{Window: 3 * time.Second, Delay: 1200 * time.Millisecond,
+			Linger: 1500 * time.Millisecond, Expiry: time.Hour, MaxRecords: 512}))
+	}
+	for i := range simServers {
+		s.servers = append(s.servers, simServer{id: fmt.Sprintf("s%d.0", i), domain: fmt.Sprint("d", i%simDomains), up: true, runs: map[*simRun]bool{}})
+	}
+	for node := range s.nodes {
+		s.every(250*time.Millisecond, func() { s.publish(node) })
+	}
+	return s
+}
+
+func (s *simulation) after(d time.Duration, run func()) {
+	s.events++
+	heap.Push(&s.queue, simEvent{s.now.Add(d), s.events, run})
+}
+
+func (s *simulation) every(interval time.Duration, run func()) {
+	s.after(s.between(0, interval), func() {
+		run()
+		s.repeat(interval, run)
+	})
+}
+
+func (s *simulation) repeat(interval time.Duration, run func()) {
+	s.after(interval, func() {
+		run()
+		s.repeat(interval, run)
+	})
+}
+
+// poisson calls run at random times with this mean rate per second.
+func (s *simulation) poisson(rate float64, run func()) {
+	if rate <= 0 {
+		return
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		run()
+		s.poisson(rate, run)
+	})
+}
+
+func (s *simulation) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.rng.Int64N(int64(high-low)+1))
+}
+
+func (s *simulation) play() {
+	for end := s.now.Add(simDuration); len(s.queue) > 0 && s.queue[0].at.Before(end); {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+}
+
+func (s *simulation) publish(node int) {
+	s.nodes[node].Tick(s.now)
+	for _, c := range s.nodes[node].Changes() {
+		for other := range s.nodes {
+			if other != node {
+				s.after(s.between(20*time.Millisecond, 120*time.Millisecond), func() { s.nodes[other].Merge(c.Digest, c.Record, s.now) })
+			}
+		}
+	}
+}
+
+// crash stops a server and starts it again under another id.
+func (s *simulation) crash(i int) {
+	server := &s.servers[i]
+	if !server.up {
+		return
+	}
+	server.up = false
+	event := Crash{Server: server.id, Domain: server.domain, Started: int64(server.life)}
+	for run := range server.runs {
+		run.run.End(Interrupted, s.now)
+		s.after(5*time.Millisecond, func() { s.failed(run.req) })
+	}
+	server.runs = map[*simRun]bool{}
+	for _, node := range s.nodes {
+		s.after(s.between(100*time.Millisecond, 300*time.Millisecond), func() { node.RecordCrash(event, s.now) })
+	}
+	s.after(simDowntime, func() {
+		server.life++
+		server.id, server.up = fmt.Sprintf("s%d.%d", i, server.life), true
+	})
+}
+
+// send sends a request to a random server that is up, as a node does: not if the request is held or quarantined.
+func (s *simulation) send(req *simRequest) {
+	var up []int
+	for i := range s.servers {
+		if s.servers[i].up {
+			up = append(up, i)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	i := up[s.rng.IntN(len(up))]
+	server := &s.servers[i]
+	started, ok := s.nodes[req.node].TryStart(server.id, req.digest, s.now)
+	if !ok {
+		if !req.crashes {
+			s.refused++
+		}
+		return
+	}
+	req.sends++
+	run := &simRun{req, i, started}
+	server.runs[run] = true
+	if req.crashes {
+		s.crashingRuns = append(s.crashingRuns, s.now)
+		s.after(crashingDelay, func() { s.crash(i) })
+		return
+	}
+	s.after(req.duration, func() {
+		if server.runs[run] {
+			delete(server.runs, run)
+			started.End(Completed, s.now)
+		}
+	})
+}
+
+// failed sends a request again whose server crashed: first its node does, then its caller through another node.
+func (s *simulation) failed(req *simRequest) {
+	if req.sends < simAttempts {
+		s.send(req)
+		return
+	}
+	if !req.repeated && !req.crashes {
+		s.after(50*time.Millisecond, func() {
+			s.send(&simRequest{digest: req.digest, duration: req.duration, node: s.rng.IntN(simNodes), repeated: true})
+		})
+	}
+}
+
+func (s *simulation) sendInnocent() {
+	s.innocent++
+	s.send(&simRequest{digest: fmt.Sprint("r", s.innocent), node: s.rng.IntN(simNodes), duration: s.between(50*time.Millisecond, 3*time.Second)})
+}
+
+// late returns how many runs of the crashing request started later than 3 s after it had crashed the third server. The
+// users allow three of them.
+func (s *simulation) late() int {
+	n := 0
+	for i, at := range s.crashingRuns {
+		if i >= 3 && at.Sub(s.crashingRuns[2].Add(crashingDelay)) > 3*time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	simSeeds        = 40
+	lateRunsAllowed = 3
+)
+
+// Guards against a request that goes on crashing servers because its strikes are withdrawn when servers crash for other
+// reasons at the same time, or when its own runs overlap.
+func TestRequestThatCrashesServersIsRefusedAmongOtherCrashes(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		interval time.Duration // between two arrivals of the request
+		crashes  float64       // unrelated ones per second
+	}{
+		{"alone", 2 * time.Second, 0},
+		{"alone, often", 500 * time.Millisecond, 0},
+		{"unrelated crashes", 2 * time.Second, 0.2},
+		{"many unrelated crashes", 2 * time.Second, 1},
+		{"unrelated crashes, often", 500 * time.Millisecond, 0.2},
+		{"very often", 50 * time.Millisecond, 0.2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sum, most, worst := 0, 0, 0
+			for seed := range uint64(simSeeds) {
+				s := newSimulation(seed)
+				s.poisson(2, s.sendInnocent)
+				s.poisson(test.crashes, func() { s.crash(s.rng.IntN(simServers)) })
+				s.repeat(test.interval, func() {
+					s.send(&simRequest{digest: "crashing", crashes: true, node: s.rng.IntN(simNodes)})
+				})
+				s.play()
+				sum += len(s.crashingRuns)
+				most, worst = max(most, len(s.crashingRuns)), max(worst, s.late())
+				if s.late() > lateRunsAllowed {
+					t.Errorf("seed %d: %d runs later than 3 s after the third crash, %d in all", seed, s.late(), len(s.crashingRuns))
+				}
+			}
+			t.Logf("runs: %.1f in the mean, %d at most; late: %d at most", float64(sum)/simSeeds, most, worst)
+		})
+	}
+}
+
+// Guards against requests that are refused because the servers they ran on crashed in a wave.
+func TestRequestsInCrashWavesAreNotRefused(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		wave func(s *simulation)
+	}{
+		{"domain", func(s *simulation) {
+			domain := fmt.Sprint("d", s.rng.IntN(simDomains))
+			for i := range s.servers {
+				if s.servers[i].domain == domain {
+					s.after(s.between(0, 500*time.Millisecond), func() { s.crash(i) })
+				}
+			}
+		}},
+		{"a fifth of the servers", func(s *simulation) {
+			for _, i := range s.rng.Perm(simServers)[:simServers/5] {
+				s.after(s.between(0, time.Second), func() { s.crash(i) })
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			innocent, refused := 0, 0
+			for seed := range uint64(simSeeds) {
+				s := newSimulation(seed)
+				s.poisson(60, s.sendInnocent)
+				s.repeat(4*time.Second, func() { test.wave(s) })
+				s.play()
+				innocent += s.innocent
+				refused += s.refused
+			}
+			t.Logf("%d of %d requests were refused", refused, innocent)
+			if refused > 0 {
+				t.Errorf("%d of %d requests were refused", refused, innocent)
+			}
+		})
+	}
+}
