edge: a refused connection gives the request no strike

Cause: the run was registered on the server before the connection was made, so a refusal, which records a crash, gave the strike to the request that was refused. Change: a send that left no byte ends as abandoned before the crash is recorded.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/platform/standin"
 )
 
@@ -101,3 +102,27 @@
 		assert.Assert(t, strings.HasPrefix(got.body, "answer of desk-"), got.body)
 	}
 }
+
+// Guards against a strike for a request that a crashed server refused a connection and that never ran there: two of them
+// quarantine a request that has crashed nothing.
+func TestRefusedConnectionGivesNoStrike(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	var crashed []*standin.Server
+	for i := range 4 {
+		crashed = append(crashed, d.serve(fmt.Sprint("desk-", i), "desk", 0))
+	}
+	d.serve("desk-alive", "desk", 0)
+	n := d.node()
+	for _, s := range crashed {
+		s.Close()
+	}
+	for i := range 6 {
+		assert.Equal(t, n.do(t, call{method: http.MethodGet, path: fmt.Sprint("/look/", i)}).status, http.StatusOK)
+	}
+	time.Sleep(time.Second) // several intervals of the crash detector
+	for _, line := range d.logs.read(t).Lines {
+		assert.Assert(t, line.Message != logline.CrashRecord, "%v", line.Fields)
+	}
+}
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -66,7 +66,7 @@
 	}
 	resp, err := n.client.Do(out)
 	if err != nil {
-		return n.classify(ctx, ticket, err)
+		return classify(ctx, err)
 	}
 	reply := n.headers.Reply(resp)
 	if result, done := n.checkReply(req, resp, reply); done {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -51,6 +51,8 @@
 	status   status
 	reason   string
 	response *bufferedResponse
+	// connRefused is set if the server refused the connection.
+	connRefused bool
 	// retryReserved is set if a retry has already been taken from the budget.
 	retryReserved bool
 }
@@ -168,11 +170,19 @@
 		ticket.End(placement.Failed, now)
 		n.outliers.Observe(ticket.Server.ID, false)
 		run.End(strike.Completed, now)
-	case responseLost, notSent:
+	case responseLost:
 		req.logDigest = true
 		ticket.End(placement.Failed, now)
 		n.outliers.Observe(ticket.Server.ID, false)
 		run.End(strike.Interrupted, now)
+	case notSent:
+		ticket.End(placement.Failed, now)
+		n.outliers.Observe(ticket.Server.ID, false)
+		// The run ends before the crash is recorded: a request that was not sent cannot have caused it.
+		run.End(strike.Abandoned, now)
+		if result.connRefused {
+			n.crashes.connRefused(ticket.Server, now)
+		}
 	case canceled:
 		ticket.End(placement.Abandoned, now)
 		run.End(strike.Abandoned, now)
@@ -278,16 +288,13 @@
 	n.usage.CountStarted(req.workspace.Name, time.Now())
 }
 
-// classify returns the result for a failed send. A server that refuses connections is recorded as crashed.
-func (n *Node) classify(ctx context.Context, ticket *placement.Ticket, err error) sendResult {
+// classify returns the result for a failed send.
+func classify(ctx context.Context, err error) sendResult {
 	switch {
 	case ctx.Err() != nil:
 		return sendResult{status: canceled, reason: "stopped"}
 	case errors.Is(err, backend.ErrUnreachable):
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			n.crashes.connRefused(ticket.Server, time.Now())
-		}
-		return sendResult{status: notSent, reason: "unreachable"}
+		return sendResult{status: notSent, reason: "unreachable", connRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	default:
 		return sendResult{status: responseLost, reason: "connection_lost"}
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -53,7 +53,7 @@
 	}
 	resp, err := s.n.client.Do(out)
 	if err != nil {
-		return s.classify(ctx, ticket, err)
+		return s.classify(ctx, err)
 	}
 	defer closeBody(resp)
 	reply := s.n.headers.Reply(resp)
@@ -68,7 +68,7 @@
 		s.req.outcome = logline.Served
 		return sendResult{status: delivered}
 	}
-	return s.classify(ctx, ticket, err)
+	return s.classify(ctx, err)
 }
 
 // resumeAfter returns the id of the event after which a server should resume.
@@ -102,11 +102,11 @@
 }
 
 // classify returns the result for the error that ended a send.
-func (s *streamRelay) classify(ctx context.Context, ticket *placement.Ticket, err error) sendResult {
+func (s *streamRelay) classify(ctx context.Context, err error) sendResult {
 	if context.Cause(ctx) == errStalled {
 		return sendResult{status: responseLost, reason: "stream_stalled", retryReserved: true}
 	}
-	return s.n.classify(ctx, ticket, err)
+	return classify(ctx, err)
 }
 
 // serverFailure returns the result for an error response of a server.
