edge: probe a server whose connection broke, to notice its crash

Callers saw a request being sent to servers again and again that had ended under it. Cause: a node recorded a crash only if another request of its own dialed the server within 1.5 s and was refused, or if the server came back under its old id within that time. A node that has ejected the server or rarely uses it does neither, and servers mostly come back under new ids, so the request that crashed the server got no strike. Class: a failure detector that relies on traffic which the failure itself diverts. Change: the node whose connection broke dials the server after 150 and 300 ms; a refused connection is a crash. As many connections as broken ones at most, fewer when several break at once.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -93,6 +93,7 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 	late, total := record.late()
+	t.Logf("%d runs, %d of them late", total, late)
 	assert.Assert(t, late <= lateRunsAllowed, "%d of %d runs came too late", late, total)
 	for _, n := range nodes {
 		got := n.do(t, call{method: http.MethodGet, path: crashingPath})
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -80,6 +80,7 @@
 	quota    *quota.Buckets
 	usage    *usage.Counter
 	crashes  *crashDetector
+	prober   *crashProber
 	demand   *demandMeter
 	memory   *bodyMemory
 
@@ -104,6 +105,8 @@
 	n.quota = quota.New()
 	n.usage = usage.New(incarnation(o.Settings.Node, now.UnixMilli()), o.Settings.UsageWindow)
 	n.crashes = newCrashDetector(o.Metrics, o.Log)
+	n.prober = &crashProber{dial: netdial.Dial(serverDialTimeout), log: o.Log, remaining: map[string]int{},
+		crashed: func(s serving.Server, now time.Time) { n.crashes.recordCrash(s, "probe_refused", now) }}
 	n.demand = newDemandMeter(now)
 	n.memory = newBodyMemory(o.Settings.MemoryBytes)
 	n.callers = &callerConns{log: o.Log, limits: n.callerLimits, conns: map[net.Conn]*callerConn{}}
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -78,7 +78,7 @@
 		if ctx.Err() != nil {
 			return sendResult{status: canceled, reason: "stopped"}
 		}
-		return sendResult{status: responseLost, reason: "answer_cut"}
+		return sendResult{status: responseLost, reason: "answer_cut", connLost: true}
 	}
 	response.header = n.headers.ForwardResponse(response.header)
 	if resp.StatusCode >= http.StatusInternalServerError && req.route.Repeat == serving.Idempotent {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -51,8 +51,8 @@
 	status   status
 	reason   string
 	response *bufferedResponse
-	// connRefused is set if the server refused the connection.
-	connRefused bool
+	// connRefused is set if the server refused the connection, connLost if an established one broke.
+	connRefused, connLost bool
 	// retryReserved is set if a retry has already been taken from the budget.
 	retryReserved bool
 }
@@ -175,6 +175,9 @@
 		ticket.End(placement.Failed, now)
 		n.outliers.Observe(ticket.Server.ID, false)
 		run.End(strike.Interrupted, now)
+		if result.connLost {
+			n.prober.connLost(ticket.Server)
+		}
 	case notSent:
 		ticket.End(placement.Failed, now)
 		n.outliers.Observe(ticket.Server.ID, false)
@@ -296,6 +299,6 @@
 	case errors.Is(err, backend.ErrUnreachable):
 		return sendResult{status: notSent, reason: "unreachable", connRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	default:
-		return sendResult{status: responseLost, reason: "connection_lost"}
+		return sendResult{status: responseLost, reason: "connection_lost", connLost: true}
 	}
 }
