strike: a correlated crash weakens a strike instead of withdrawing it

Cause: a strike was withdrawn, on all nodes and for good, when the node that decided first saw another server crash within 3 s. While servers crash for other reasons, and while runs of the request itself overlap so that a node has not received all of its strikes, a request never keeps two strikes, whatever it has crashed; even a quarantine in force was lifted. Class: an irrevocable acquittal on one node's momentary, incomplete view. Change: a correlated strike counts as weak evidence. Two full strikes, one and two correlated, or four correlated ones quarantine a request. Only a completed run, a notice of the server and an unreachable network withdraw strikes. A strike that another node has published stays pending until its decision must have arrived. The run on a crashed server no longer counts as in flight.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -91,7 +91,7 @@
 func (d *Dispatcher) Call(ctx context.Context, call gateway.ServiceCall) (backend.CallResponse, error) {
 	d.Budget.Request()
 	if state, _ := d.Strikes.State(contentDigest(call)); state == strike.Quarantined {
-		return backend.CallResponse{}, code.New(code.RequestQuarantined, "this call has crashed two backend servers")
+		return backend.CallResponse{}, code.New(code.RequestQuarantined, "this call has crashed backend servers")
 	}
 	if call.Route.NonRepeatable {
 		return d.callNonRepeatable(ctx, call)
@@ -236,7 +236,7 @@
 	for {
 		state, wait := d.Strikes.State(content)
 		if state == strike.Quarantined {
-			return nil, code.New(code.RequestQuarantined, "this call has crashed two backend servers")
+			return nil, code.New(code.RequestQuarantined, "this call has crashed backend servers")
 		}
 		if state != strike.Held {
 			req.Isolate, req.IsolateKey = state == strike.Isolate, content
--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -5,7 +5,7 @@
 	"io"
 	stdlog "log"
 	"net"
-	"slices"
+	"reflect"
 	"strconv"
 	"sync"
 	"time"
@@ -102,14 +102,15 @@
 
 func (d *crashDetector) logChange(c strike.Change) {
 	before, ok := d.lastLogged[c.Digest]
-	if ok && before.Quarantined == c.Record.Quarantined && slices.Equal(before.Servers, c.Record.Servers) {
+	if ok && reflect.DeepEqual(before, c.Record) {
 		return
 	}
 	if len(d.lastLogged) >= maxCrashRecords {
 		clear(d.lastLogged)
 	}
 	d.lastLogged[c.Digest] = c.Record
-	d.log.WithFields(logrus.Fields{logline.Digest: c.Digest, logline.Servers: c.Record.Servers, "quarantined": c.Record.Quarantined}).
+	d.log.WithFields(logrus.Fields{logline.Digest: c.Digest, logline.Servers: c.Record.Servers,
+		"correlated": c.Record.Correlated, "quarantined": c.Record.Quarantined}).
 		Info(logline.CrashRecord)
 }
 
@@ -120,7 +121,8 @@
 	var out []*pb.CrashRecord
 	for i, c := range d.records {
 		if now.Sub(c.updatedAt) < newCrashPeriod || int(now.UnixNano()/int64(crashRotation))%len(d.records) == i {
-			out = append(out, &pb.CrashRecord{Digest: c.Digest, Servers: c.Record.Servers, Quarantined: c.Record.Quarantined})
+			out = append(out, &pb.CrashRecord{Digest: c.Digest, Servers: c.Record.Servers, Correlated: c.Record.Correlated,
+				Quarantined: c.Record.Quarantined})
 		}
 	}
 	return out
@@ -128,7 +130,7 @@
 
 func (d *crashDetector) merge(records []*pb.CrashRecord, now time.Time) {
 	for _, r := range records {
-		d.tracker.Merge(r.Digest, strike.Record{Servers: r.Servers, Quarantined: r.Quarantined}, now)
+		d.tracker.Merge(r.Digest, strike.Record{Servers: r.Servers, Correlated: r.Correlated, Quarantined: r.Quarantined}, now)
 	}
 }
 
--- a/internal/generate/attempt.go
+++ b/internal/generate/attempt.go
@@ -112,7 +112,7 @@
 	state, wait := r.Strikes.State(run.digest)
 	switch state {
 	case strike.Quarantined:
-		return code.New(code.RequestQuarantined, "the request crashed two backend servers").WithRan(code.RanYes)
+		return code.New(code.RequestQuarantined, "the request has crashed backend servers").WithRan(code.RanYes)
 	case strike.Held:
 		clock.Sleep(ctx, wait)
 		return errHeld
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -164,7 +164,7 @@
 
 func (g *guard) publish() {
 	for _, change := range g.strikes.Changes() {
-		message := &pb.Strike{Servers: change.Record.Servers, Quarantined: change.Record.Quarantined}
+		message := &pb.Strike{Servers: change.Record.Servers, Correlated: change.Record.Correlated, Quarantined: change.Record.Quarantined}
 		g.cluster.publish(strikeKeyPrefix+change.Digest, message, strikeTTL, true)
 	}
 }
@@ -174,7 +174,7 @@
 	if proto.Unmarshal(item.Value, &message) != nil {
 		return
 	}
-	record := strike.Record{Servers: message.Servers, Quarantined: message.Quarantined}
+	record := strike.Record{Servers: message.Servers, Correlated: message.Correlated, Quarantined: message.Quarantined}
 	g.strikes.Merge(strings.TrimPrefix(item.Key, strikeKeyPrefix), record, time.Now())
 }
 
--- a/internal/node/responses.go
+++ b/internal/node/responses.go
@@ -37,7 +37,7 @@
 		return nil, code.New(code.NodeLeaving, "the entry node is leaving").WithRetryAfter(time.Second)
 	}
 	if state, _ := r.strikes.State(generate.Digest(req.Path, req.Body)); state == strike.Quarantined {
-		return nil, code.New(code.RequestQuarantined, "this request has crashed two backend servers")
+		return nil, code.New(code.RequestQuarantined, "this request has crashed backend servers")
 	}
 	r.countRequest()
 	recordTokens := r.countDemand(req.Request.Model, req.Request.MaxTokens)
--- a/pkg/strike/sim_test.go
+++ b/pkg/strike/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -60,13 +61,12 @@
 	id, domain string
 	life       int
 	up         bool
-	runs       map[*simRun]bool
+	runs       []*simRun
 }
 
 type simRun struct {
-	req    *simRequest
-	server int
-	run    *Run
+	req *simRequest
+	run *Run
 }
 
 // simRequest is one attempt of a caller.
@@ -87,7 +87,7 @@
 			Linger: 1500 * time.Millisecond, Expiry: time.Hour, MaxRecords: 512}))
 	}
 	for i := range simServers {
-		s.servers = append(s.servers, simServer{id: fmt.Sprintf("s%d.0", i), domain: fmt.Sprint("d", i%simDomains), up: true, runs: map[*simRun]bool{}})
+		s.servers = append(s.servers, simServer{id: fmt.Sprintf("s%d.0", i), domain: fmt.Sprint("d", i%simDomains), up: true})
 	}
 	for node := range s.nodes {
 		s.every(250*time.Millisecond, func() { s.publish(node) })
@@ -156,11 +156,11 @@
 	}
 	server.up = false
 	event := Crash{Server: server.id, Domain: server.domain, Started: int64(server.life)}
-	for run := range server.runs {
+	for _, run := range server.runs {
 		run.run.End(Interrupted, s.now)
 		s.after(5*time.Millisecond, func() { s.failed(run.req) })
 	}
-	server.runs = map[*simRun]bool{}
+	server.runs = nil
 	for _, node := range s.nodes {
 		s.after(s.between(100*time.Millisecond, 300*time.Millisecond), func() { node.RecordCrash(event, s.now) })
 	}
@@ -191,16 +191,16 @@
 		return
 	}
 	req.sends++
-	run := &simRun{req, i, started}
-	server.runs[run] = true
+	run := &simRun{req, started}
+	server.runs = append(server.runs, run)
 	if req.crashes {
 		s.crashingRuns = append(s.crashingRuns, s.now)
 		s.after(crashingDelay, func() { s.crash(i) })
 		return
 	}
 	s.after(req.duration, func() {
-		if server.runs[run] {
-			delete(server.runs, run)
+		if j := slices.Index(server.runs, run); j >= 0 {
+			server.runs = slices.Delete(server.runs, j, j+1)
 			started.End(Completed, s.now)
 		}
 	})
--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -1,19 +1,26 @@
 // Package strike detects requests that crash the backend servers they run on (poison requests) and quarantines them.
 //
 // When a server crashes, each request in flight on it gets a strike under the request's content digest. A request with
-// one strike runs in isolation, alone on its server; a request with two is refused on all nodes. The goal is that a
-// poison request crashes at most two servers.
+// a strike runs in isolation, alone on its server; with enough strikes it is quarantined, that is refused on all nodes.
 //
-// A strike is provisional for a short delay and is published at once, so that other nodes isolate the request before
-// the decision. It is withdrawn when the crash turns out not to be caused by one request: the instance had a reclaim
-// notice, its network was unreachable, or the crash is correlated with others, which means another one in the same
-// failure domain or two elsewhere within the window. A crash that gave the same request a strike does not count as
-// correlated, since a poison request causes just that. A request with two strikes of which one is provisional is held:
-// it neither runs nor is refused until the decision, which takes longer than gossip needs to reach all nodes. An
-// isolated run that succeeds withdraws the strikes of a request that only ran on the same server as a poison request.
+// A strike is pending for a short delay and is published at once, so that other nodes isolate the request before the
+// decision. After the delay it counts in full, unless the crash is correlated with others, which means another one in
+// the same failure domain or two elsewhere within the window. A crash that gave the same request a strike is no reason to
+// call another one correlated, since a poison request causes just that.
 //
-// Records merge by set union: an incident is struck or withdrawn, and withdrawn wins. The merge is commutative and
-// idempotent, so the order in which nodes receive records does not matter.
+// A correlated crash is weak evidence but not evidence of innocence, because servers also crash for other reasons while
+// a poison request is around: its strike counts less than half. So a poison request crashes two servers if nothing else
+// happens, and four in any other case, apart from the races below. A request that waves of crashes hit is refused only
+// after its fourth crash in a row.
+//
+// A request whose pending strikes could quarantine it is held: it neither runs nor is refused until the decision, which
+// takes longer than gossip needs to reach all nodes.
+//
+// Strikes are withdrawn only by evidence of innocence: a run of the request that completes, a reclaim notice of the
+// server, or a network that was unreachable.
+//
+// Records merge by set union: an incident is struck or withdrawn, and withdrawn wins; a struck one is correlated if one
+// node says so. The merge is commutative and idempotent, so the order in which nodes receive records does not matter.
 //
 // Races that remain:
 //   - Copies of a request sent to several nodes at the same moment run before any strike exists. Each may crash one
@@ -22,11 +29,8 @@
 //     (less than a gossip delay after the crash) crashes one more server per such resend.
 //   - On one node, TryStart refuses a second run of a request with a strike while the first is in flight. Across nodes,
 //     two isolated runs of the same request can overlap.
-//   - Two servers of a failure domain that are lost within the window to a common cause, with the same unrelated request
-//     retried from the first to the second, make that request look like a poison request. Its quarantine ends when the
-//     record expires.
-//   - An unrelated crash in the same failure domain within the window has the strike of a poison request withdrawn once.
-//     Two different poison requests that crash servers within one window can do the same to each other for that time.
+//   - Two servers that are lost to unrelated causes, with the same request retried from the first to the second, make that
+//     request look like a poison request. Its quarantine ends when the record expires.
 package strike
 
 import (
@@ -75,10 +79,18 @@
 	defaultLinger     = 3 * time.Second
 	defaultExpiry     = time.Hour
 	defaultMaxRecords = 4096
-	quarantineStrikes = 2
-	maxIncidents      = 16 // of one record, withdrawn ones included
-	maxCrashes        = 4096
-	withdrawnMark     = "-"
+	// Weights of strikes. A pending one weighs at least correlatedWeight and at most fullWeight. Two full strikes, one and
+	// two correlated ones, or four correlated ones quarantine a request; one full strike or three correlated ones isolate
+	// it.
+	fullWeight       = 5
+	correlatedWeight = 2
+	isolateWeight    = 5
+	quarantineWeight = 8
+	maxIncidents     = 16 // of one record, withdrawn ones included
+	maxCrashes       = 4096
+	withdrawnMark    = "-"
+	// mergedDelayFactor times Options.Delay is when a strike received from another node counts in full.
+	mergedDelayFactor = 2
 )
 
 // Crash describes a server that crashed or became unreachable.
@@ -104,8 +116,9 @@
 // one.
 type Record struct {
 	Servers []string
-	// Quarantined is set by a node that has decided on two strikes. It has an effect only while at least two strikes are
-	// not withdrawn.
+	// Correlated lists those of Servers, without the withdrawn ones, whose crash was correlated with others.
+	Correlated []string
+	// Quarantined is set by a node that has decided to quarantine the request. Pending strikes then count in full.
 	Quarantined bool
 }
 
@@ -118,9 +131,10 @@
 // Verdict is what a node decided on a strike or on a broken connection.
 type Verdict string
 
-// The verdicts. Dropped means that no crash was noticed within Options.Linger after the connection of a run broke.
+// The verdicts. Weakened means that a strike counts as correlated. Dropped means that no crash was noticed within Options.Linger after the connection of a run broke.
 const (
 	Withdrawn  Verdict = "withdrawn"
+	Weakened   Verdict = "weakened"
 	Quarantine Verdict = "quarantined"
 	Dropped    Verdict = "dropped"
 )
@@ -133,7 +147,7 @@
 	CompletedRun  Reason = "a run of the request completed"
 	ExternalCause Reason = "the server had a notice or could not be reached"
 	Correlated    Reason = "other servers crashed at nearly the same time"
-	TwoStrikes    Reason = "the request has crashed two servers"
+	EnoughStrikes Reason = "the strikes of the request suffice"
 	NoCrash       Reason = "no crash of the server was noticed"
 )
 
@@ -187,12 +201,21 @@
 }
 
 type record struct {
-	struck      map[string]time.Time // incident to the time at which this node learned of it
+	struck      map[string]incidentStrike // by incident
 	withdrawn   map[string]bool
 	quarantined bool
 	changedAt   time.Time
 }
 
+// incidentStrike is a strike that is not withdrawn.
+type incidentStrike struct {
+	learnedAt time.Time
+	// decidedAt is when the strike counts in full unless it is found to be correlated before. It is later for strikes
+	// received from other nodes, whose decision takes a gossip delay to arrive.
+	decidedAt  time.Time
+	correlated bool
+}
+
 type crash struct {
 	incident, domain string
 	at               time.Time
@@ -234,33 +257,44 @@
 	return t.stateOf(digest, now)
 }
 
-// stateOf counts the strikes, and counts interrupted runs as possible strikes.
+// stateOf weighs the strikes. Interrupted runs count as possible strikes.
 func (t *Tracker) stateOf(digest string, now time.Time) (State, time.Duration) {
-	struck, newest := 0, time.Time{}
+	var least, most int
+	var decided time.Time
 	if r := t.records[digest]; r != nil && now.Sub(r.changedAt) < t.opts.Expiry {
-		struck = len(r.struck)
-		for _, at := range r.struck {
-			newest = later(newest, at)
-		}
-		if struck >= quarantineStrikes && (r.quarantined || now.Sub(newest) >= t.opts.Delay) {
-			return Quarantined, 0
-		}
+		least, most, decided = r.weigh(now)
 	}
-	decided := newest.Add(t.opts.Delay)
-	suspected := struck
 	for _, run := range t.interrupted[digest] {
 		if left := run.interruptedAt.Add(t.opts.Linger); left.After(now) {
-			suspected++
+			most += fullWeight
 			decided = later(decided, left)
 		}
 	}
 	switch {
-	case suspected == 0:
-		return Clear, 0
-	case suspected < quarantineStrikes:
+	case least >= quarantineWeight:
+		return Quarantined, 0
+	case most >= quarantineWeight:
+		return Held, max(time.Millisecond, decided.Sub(now))
+	case most >= isolateWeight:
 		return Isolate, 0
 	}
-	return Held, max(time.Millisecond, decided.Sub(now))
+	return Clear, 0
+}
+
+// weigh returns the least and the most that the strikes may weigh once all are decided, and when that is.
+func (r *record) weigh(now time.Time) (least, most int, decided time.Time) {
+	for _, s := range r.struck {
+		switch {
+		case s.correlated:
+			least, most = least+correlatedWeight, most+correlatedWeight
+		case r.quarantined || !s.decidedAt.After(now):
+			least, most = least+fullWeight, most+fullWeight
+		default:
+			least, most = least+correlatedWeight, most+fullWeight
+			decided = later(decided, s.decidedAt)
+		}
+	}
+	return least, most, decided
 }
 
 func later(a, b time.Time) time.Time {
@@ -288,21 +322,14 @@
 	return r, true
 }
 
-// End records the end of a run. Further calls do nothing.
+// End records the end of a run. Calls after the first one or after a crash of the server do nothing.
 func (r *Run) End(outcome Outcome, now time.Time) {
 	t := r.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.ended {
+	if !r.leave() {
 		return
 	}
-	r.ended = true
-	if t.inFlight[r.digest]--; t.inFlight[r.digest] <= 0 {
-		delete(t.inFlight, r.digest)
-	}
-	if !t.running[r.server][r] {
-		return // the server crashed during the run
-	}
 	if outcome == Interrupted {
 		r.interruptedAt = now
 		t.interrupted[r.digest] = append(t.interrupted[r.digest], r)
@@ -314,6 +341,18 @@
 	}
 }
 
+// leave removes a run from those in flight. It returns false if that has been done before.
+func (r *Run) leave() bool {
+	if r.ended {
+		return false
+	}
+	r.ended = true
+	if r.tracker.inFlight[r.digest]--; r.tracker.inFlight[r.digest] <= 0 {
+		delete(r.tracker.inFlight, r.digest)
+	}
+	return true
+}
+
 // removeRun removes a run that no later crash can give a strike.
 func (t *Tracker) removeRun(r *Run) {
 	delete(t.running[r.server], r)
@@ -334,8 +373,8 @@
 	if r == nil {
 		return
 	}
-	for incident, at := range r.struck {
-		if !at.After(startedAt) {
+	for incident, s := range r.struck {
+		if !s.learnedAt.After(startedAt) {
 			t.withdraw(digest, r, incident, CompletedRun, nil, now)
 		}
 	}
@@ -373,6 +412,7 @@
 	event := crash{incident: incident, domain: c.Domain, at: now, decided: externalCause}
 	for r := range t.running[c.Server] {
 		runs++
+		r.leave()
 		if !externalCause && !slices.Contains(event.digests, r.digest) {
 			t.addStrike(r.digest, incident, now)
 			event.digests = append(event.digests, r.digest)
@@ -418,7 +458,7 @@
 	if _, known := r.struck[incident]; known {
 		return
 	}
-	r.struck[incident] = now
+	r.struck[incident] = incidentStrike{learnedAt: now, decidedAt: now.Add(t.opts.Delay)}
 	r.changedAt = now
 	t.changed[digest] = true
 }
@@ -429,7 +469,7 @@
 		if r == nil && len(t.records) >= t.opts.MaxRecords {
 			t.evict()
 		}
-		r = &record{struck: make(map[string]time.Time), withdrawn: make(map[string]bool), changedAt: now}
+		r = &record{struck: make(map[string]incidentStrike), withdrawn: make(map[string]bool), changedAt: now}
 		t.records[digest] = r
 	}
 	return r
@@ -490,11 +530,10 @@
 			continue
 		}
 		if related := t.correlated(event, r); related != nil {
-			t.withdraw(digest, r, event.incident, Correlated, related, now)
-			continue
+			t.markCorrelated(digest, r, event.incident, related, now)
 		}
-		if len(r.struck) >= quarantineStrikes && !r.quarantined {
-			t.logDecision(Decision{Digest: digest, Incident: event.incident, Verdict: Quarantine, Reason: TwoStrikes, Related: r.export().Servers})
+		if least, _, _ := r.weigh(now); least >= quarantineWeight && !r.quarantined {
+			t.logDecision(Decision{Digest: digest, Incident: event.incident, Verdict: Quarantine, Reason: EnoughStrikes, Related: r.export().Servers})
 			r.quarantined = true
 			r.changedAt = now
 			t.changed[digest] = true
@@ -502,6 +541,18 @@
 	}
 }
 
+func (t *Tracker) markCorrelated(digest string, r *record, incident string, related []string, now time.Time) {
+	s, struck := r.struck[incident]
+	if !struck || s.correlated {
+		return
+	}
+	t.logDecision(Decision{Digest: digest, Incident: incident, Verdict: Weakened, Reason: Correlated, Related: related})
+	s.correlated = true
+	r.struck[incident] = s
+	r.changedAt = now
+	t.changed[digest] = true
+}
+
 // correlated returns the crashes that a crash is correlated with, as seen from one request, or nil. Only crashes within
 // the window that gave the request no strike count: one in the same failure domain or two anywhere. One anywhere is
 // enough when the request has two strikes, since three servers lost at once indicate a common cause that hit a retried
@@ -521,7 +572,7 @@
 		}
 		others = append(others, other.incident)
 	}
-	if len(others) >= 2 || len(others) == 1 && len(r.struck) >= quarantineStrikes {
+	if len(others) >= 2 || len(others) == 1 && len(r.struck) >= 2 {
 		return others
 	}
 	return nil
@@ -547,10 +598,17 @@
 			delete(r.struck, incident)
 			r.withdrawn[incident] = true
 		default:
-			r.struck[incident] = now
+			r.struck[incident] = incidentStrike{learnedAt: now, decidedAt: now.Add(mergedDelayFactor * t.opts.Delay)}
 		}
 		changed = true
 	}
+	for _, incident := range received.Correlated {
+		if s, struck := r.struck[incident]; struck && !s.correlated {
+			s.correlated = true
+			r.struck[incident] = s
+			changed = true
+		}
+	}
 	if received.Quarantined && !r.quarantined {
 		r.quarantined = true
 		changed = true
@@ -567,19 +625,24 @@
 }
 
 func sameRecord(a, b Record) bool {
-	servers := slices.Sorted(slices.Values(b.Servers))
-	return a.Quarantined == b.Quarantined && slices.Equal(a.Servers, slices.Compact(servers))
+	return a.Quarantined == b.Quarantined && slices.Equal(a.Servers, sortedSet(b.Servers)) && slices.Equal(a.Correlated, sortedSet(b.Correlated))
 }
 
+func sortedSet(values []string) []string { return slices.Compact(slices.Sorted(slices.Values(values))) }
+
 func (r *record) export() Record {
 	out := Record{Quarantined: r.quarantined}
-	for incident := range r.struck {
+	for incident, s := range r.struck {
 		out.Servers = append(out.Servers, incident)
+		if s.correlated {
+			out.Correlated = append(out.Correlated, incident)
+		}
 	}
 	for incident := range r.withdrawn {
 		out.Servers = append(out.Servers, withdrawnMark+incident)
 	}
 	slices.Sort(out.Servers)
+	slices.Sort(out.Correlated)
 	return out
 }
 
