strike: a strike is pending until its decision is known

Callers saw requests refused that had crashed nothing. Cause: a strike counted in full as soon as the delay had passed, while the node decides at its next tick and other nodes receive a decision a gossip delay later. Between the two a request hit by a wave of crashes was quarantined, and lost its only repeat. Change: a strike counts in full when this node has decided so, when another node has quarantined the request, or after twice the delay. Result: TestStrikesArePendingUntilTheDecisionIsKnown fails without the change (quarantined instead of held).

--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -89,8 +89,6 @@
 	maxIncidents     = 16 // of one record, withdrawn ones included
 	maxCrashes       = 4096
 	withdrawnMark    = "-"
-	// mergedDelayFactor times Options.Delay is when a strike received from another node counts in full.
-	mergedDelayFactor = 2
 )
 
 // Crash describes a server that crashed or became unreachable.
@@ -209,11 +207,10 @@
 
 // incidentStrike is a strike that is not withdrawn.
 type incidentStrike struct {
-	learnedAt time.Time
-	// decidedAt is when the strike counts in full unless it is found to be correlated before. It is later for strikes
-	// received from other nodes, whose decision takes a gossip delay to arrive.
-	decidedAt  time.Time
+	learnedAt  time.Time
 	correlated bool
+	// decided is set by this node's decision. Decisions of other nodes are known only if they find the crash correlated.
+	decided bool
 }
 
 type crash struct {
@@ -262,7 +259,7 @@
 	var least, most int
 	var decided time.Time
 	if r := t.records[digest]; r != nil && now.Sub(r.changedAt) < t.opts.Expiry {
-		least, most, decided = r.weigh(now)
+		least, most, decided = r.weigh(t.pendingTime(), now)
 	}
 	for _, run := range t.interrupted[digest] {
 		if left := run.interruptedAt.Add(t.opts.Linger); left.After(now) {
@@ -281,17 +278,21 @@
 	return Clear, 0
 }
 
+// pendingTime is how long a strike is pending if no decision is known. The decision of another node is due after
+// Options.Delay and takes a gossip delay to arrive.
+func (t *Tracker) pendingTime() time.Duration { return 2 * t.opts.Delay }
+
 // weigh returns the least and the most that the strikes may weigh once all are decided, and when that is.
-func (r *record) weigh(now time.Time) (least, most int, decided time.Time) {
+func (r *record) weigh(pendingTime time.Duration, now time.Time) (least, most int, decided time.Time) {
 	for _, s := range r.struck {
 		switch {
 		case s.correlated:
 			least, most = least+correlatedWeight, most+correlatedWeight
-		case r.quarantined || !s.decidedAt.After(now):
+		case s.decided || r.quarantined || now.Sub(s.learnedAt) >= pendingTime:
 			least, most = least+fullWeight, most+fullWeight
 		default:
 			least, most = least+correlatedWeight, most+fullWeight
-			decided = later(decided, s.decidedAt)
+			decided = later(decided, s.learnedAt.Add(pendingTime))
 		}
 	}
 	return least, most, decided
@@ -458,7 +459,7 @@
 	if _, known := r.struck[incident]; known {
 		return
 	}
-	r.struck[incident] = incidentStrike{learnedAt: now, decidedAt: now.Add(t.opts.Delay)}
+	r.struck[incident] = incidentStrike{learnedAt: now}
 	r.changedAt = now
 	t.changed[digest] = true
 }
@@ -529,10 +530,8 @@
 		if r == nil {
 			continue
 		}
-		if related := t.correlated(event, r); related != nil {
-			t.markCorrelated(digest, r, event.incident, related, now)
-		}
-		if least, _, _ := r.weigh(now); least >= quarantineWeight && !r.quarantined {
+		t.decideStrike(digest, r, event, now)
+		if least, _, _ := r.weigh(t.pendingTime(), now); least >= quarantineWeight && !r.quarantined {
 			t.logDecision(Decision{Digest: digest, Incident: event.incident, Verdict: Quarantine, Reason: EnoughStrikes, Related: r.export().Servers})
 			r.quarantined = true
 			r.changedAt = now
@@ -541,16 +540,19 @@
 	}
 }
 
-func (t *Tracker) markCorrelated(digest string, r *record, incident string, related []string, now time.Time) {
-	s, struck := r.struck[incident]
-	if !struck || s.correlated {
-		return
+func (t *Tracker) decideStrike(digest string, r *record, event *crash, now time.Time) {
+	s, struck := r.struck[event.incident]
+	if !struck {
+		return // withdrawn
 	}
-	t.logDecision(Decision{Digest: digest, Incident: incident, Verdict: Weakened, Reason: Correlated, Related: related})
-	s.correlated = true
-	r.struck[incident] = s
-	r.changedAt = now
-	t.changed[digest] = true
+	s.decided = true
+	if related := t.correlated(event, r); related != nil && !s.correlated {
+		t.logDecision(Decision{Digest: digest, Incident: event.incident, Verdict: Weakened, Reason: Correlated, Related: related})
+		s.correlated = true
+		r.changedAt = now
+		t.changed[digest] = true
+	}
+	r.struck[event.incident] = s
 }
 
 // correlated returns the crashes that a crash is correlated with, as seen from one request, or nil. Only crashes within
@@ -598,7 +600,7 @@
 			delete(r.struck, incident)
 			r.withdrawn[incident] = true
 		default:
-			r.struck[incident] = incidentStrike{learnedAt: now, decidedAt: now.Add(mergedDelayFactor * t.opts.Delay)}
+			r.struck[incident] = incidentStrike{learnedAt: now}
 		}
 		changed = true
 	}
--- a/pkg/strike/strike_test.go
+++ b/pkg/strike/strike_test.go
@@ -261,3 +261,27 @@
 	assert.Equal(t, tc.state(0, "a"), Clear)
 	assert.Equal(t, len(tc.nodes[0].running)+len(tc.nodes[0].interrupted), 0)
 }
+
+// Guards against a request that is refused although the decision on its strikes, which finds the crashes correlated, is
+// about to be made or has not arrived yet.
+func TestStrikesArePendingUntilTheDecisionIsKnown(t *testing.T) {
+	tc := newTestCluster(2)
+	for s := range 3 {
+		server := fmt.Sprint("s", s)
+		if s < 2 {
+			startRun(t, tc, 0, server, "a").End(Interrupted, tc.now)
+		}
+		tc.nodes[0].RecordCrash(Crash{Server: server, Domain: "d0", Started: 1}, tc.now)
+	}
+	for _, c := range tc.nodes[0].Changes() {
+		tc.nodes[1].Merge(c.Digest, c.Record, tc.now)
+	}
+	tc.now = tc.now.Add(defaultDelay)
+	for node := range tc.nodes {
+		assert.Equal(t, tc.state(node, "a"), Held)
+	}
+	tc.run(500 * time.Millisecond)
+	for node := range tc.nodes {
+		assert.Equal(t, tc.state(node, "a"), Clear)
+	}
+}
