edge: a held request waits for the decision on its strikes

Callers saw requests refused that had crashed nothing: after a wave of crashes, or while one run of the same content was in flight in isolation. The refused request used up all of its servers without sending anything. Cause: a held request was refused at once, and a run that may not start counted as a failed send; each try of another server failed the same way. The tracker's contract is to wait and to check again. Change: the node waits before it picks a server, for the time until the decision, 3 s and the deadline at most; if the decision comes later than that it refuses at once, with that time as Retry-After. The wait does not count as load when the request is admitted.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -127,3 +127,24 @@
 		assert.Assert(t, line.Message != logline.CrashRecord, "%v", line.Fields)
 	}
 }
+
+// Guards against refusing a request whose servers crashed in a wave, while the decision on its strikes is pending.
+func TestRequestHitByCrashWaveWaitsForTheDecision(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	var mu sync.Mutex
+	crashesLeft := map[string]int{"/look/a": 2, "/look/b": 1}
+	for i := range 5 {
+		d.serve(fmt.Sprint("desk-", i), "desk", 0).SetBehavior(func(r *http.Request) standin.Behavior {
+			mu.Lock()
+			defer mu.Unlock()
+			crashesLeft[r.URL.Path]--
+			return standin.Behavior{Crash: crashesLeft[r.URL.Path] >= 0}
+		})
+	}
+	n := d.node()
+	assert.Equal(t, n.do(t, call{method: http.MethodGet, path: "/look/b"}).status, http.StatusOK)
+	assert.Equal(t, n.do(t, call{method: http.MethodGet, path: "/look/a"}).status, http.StatusBadGateway)
+	assert.Equal(t, n.do(t, call{method: http.MethodGet, path: "/look/a"}).status, http.StatusOK)
+}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 	"github.com/pollenlug/pollenlug/pkg/code"
@@ -22,8 +23,13 @@
 	maxServersTried = 5
 	// serverRetryAfter is the Retry-After time when no server can take a request or no further retry is allowed.
 	serverRetryAfter = 300 * time.Millisecond
-	// crashRetryAfter is the Retry-After time of a request suspected of crashing servers.
+	// crashRetryAfter is the Retry-After time of a quarantined request.
 	crashRetryAfter = 3 * time.Second
+	// maxRestrictedWait is how long a request waits while a decision on its strikes is pending or an isolated run of it is
+	// in flight. It exceeds the time until a decision of another node is known.
+	maxRestrictedWait = 3 * time.Second
+	// isolationPollInterval is how often a waiting request checks whether the isolated run has ended.
+	isolationPollInterval = 50 * time.Millisecond
 )
 
 // status is the outcome of sending a request to one server.
@@ -62,9 +68,8 @@
 func (n *Node) relay(ctx context.Context, req *request) *code.Error {
 	now := time.Now()
 	n.retryWindow(req.service.Name).Request(now)
-	if state, _ := n.crashes.tracker.State(req.digest, now); state == strike.Quarantined || state == strike.Held {
-		req.logDigest = true
-		return code.New(code.RequestQuarantined, "this request has crashed backend servers").WithRetryAfter(crashRetryAfter)
+	if state, _ := n.crashes.tracker.State(req.digest, now); state == strike.Quarantined {
+		return n.refuseQuarantined(req)
 	}
 	if req.workspace != nil {
 		req.cost = req.Cost(req.workspace)
@@ -85,13 +90,13 @@
 	stream := &streamRelay{n: n, req: req}
 	var failedResponse *bufferedResponse
 	for {
-		ticket, refusal := n.pickServer(req)
+		ticket, run, refusal := n.startRun(ctx, req)
 		if refusal != nil {
 			return n.giveUp(req, stream, failedResponse, refusal)
 		}
 		req.triedServers = append(req.triedServers, ticket.Server.ID)
 		req.expected, req.sentAt, req.prefill = ticket.Expected, time.Now(), ticket.Prefill()
-		result := n.sendTo(ctx, req, stream, ticket)
+		result := n.sendTo(ctx, req, stream, ticket, run)
 		if result.status == delivered {
 			return nil
 		}
@@ -104,6 +109,50 @@
 	}
 }
 
+// startRun picks a server and registers the run with the crash tracker. A request that is held, or of which an isolated
+// run is in flight, waits for at most maxRestrictedWait.
+func (n *Node) startRun(ctx context.Context, req *request) (*placement.Ticket, *strike.Run, *code.Error) {
+	waitUntil := time.Now().Add(maxRestrictedWait)
+	if req.deadline.Before(waitUntil) {
+		waitUntil = req.deadline
+	}
+	for {
+		now := time.Now()
+		state, wait := n.crashes.tracker.State(req.digest, now)
+		if state == strike.Quarantined {
+			return nil, nil, n.refuseQuarantined(req)
+		}
+		switch {
+		case state == strike.Held:
+		case state == strike.Isolate && n.crashes.tracker.InFlight(req.digest):
+			wait = isolationPollInterval
+		default:
+			ticket, refusal := n.pickServer(req)
+			if refusal != nil {
+				return nil, nil, refusal
+			}
+			if run, ok := n.crashes.tracker.TryStart(ticket.Server.ID, req.digest, now); ok {
+				return ticket, run, nil
+			}
+			ticket.End(placement.Abandoned, now)
+			wait = isolationPollInterval
+		}
+		req.logDigest = true
+		if now.Add(wait).After(waitUntil) {
+			return nil, nil, code.New(code.RequestQuarantined, "this request may have crashed backend servers").WithRetryAfter(wait)
+		}
+		if !clock.Sleep(ctx, wait) {
+			return nil, nil, n.cancellation(ctx, req)
+		}
+		req.restrictedFor += wait
+	}
+}
+
+func (n *Node) refuseQuarantined(req *request) *code.Error {
+	req.logDigest = true
+	return code.New(code.RequestQuarantined, "this request has crashed backend servers").WithRetryAfter(crashRetryAfter)
+}
+
 // pickServer chooses a server. Before the first send it counts the request as demand and, for an engine, checks that the
 // latency target and the deadline can be met.
 func (n *Node) pickServer(req *request) (*placement.Ticket, *code.Error) {
@@ -123,10 +172,10 @@
 	}
 	if req.service.Engine != nil && req.sends == 0 {
 		n.demand.add(req.service.Name, ticket.Prefill(), float64(req.expectedOutput()), now)
-		decision := placement.Admit(now.Sub(req.arrived)+ticket.Expected, req.route.LatencyTarget,
-			req.deadline.Sub(now), req.priority)
+		expected := now.Sub(req.arrived) - req.restrictedFor + ticket.Expected
+		decision := placement.Admit(expected, req.route.LatencyTarget, req.deadline.Sub(now), req.priority)
 		if !decision.Admit {
-			req.expected, req.refusalTimeLeft = now.Sub(req.arrived)+ticket.Expected, req.deadline.Sub(now)
+			req.expected, req.refusalTimeLeft = expected, req.deadline.Sub(now)
 			ticket.End(placement.Abandoned, now)
 			return nil, code.New(code.DeadlineUnreachable, "the engines are too busy to answer in time").WithRetryAfter(decision.RetryAfter)
 		}
@@ -143,13 +192,7 @@
 }
 
 // sendTo sends a request to one server and reports the outcome to the load, outlier and crash tracking.
-func (n *Node) sendTo(ctx context.Context, req *request, stream *streamRelay, ticket *placement.Ticket) sendResult {
-	run, ok := n.crashes.tracker.TryStart(ticket.Server.ID, req.digest, time.Now())
-	if !ok {
-		req.logDigest = true
-		ticket.End(placement.Abandoned, time.Now())
-		return sendResult{ticket: ticket, status: notSent, reason: "suspected of crashing servers"}
-	}
+func (n *Node) sendTo(ctx context.Context, req *request, stream *streamRelay, ticket *placement.Ticket, run *strike.Run) sendResult {
 	var result sendResult
 	if req.route.Stream {
 		result = stream.send(ctx, ticket)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -45,6 +45,8 @@
 	digest    string
 	logDigest bool // the request's connection to a server broke, or it is suspected of crashing servers
 	cost      float64
+	// restrictedFor is how long the request waited because of strikes, which says nothing about the load.
+	restrictedFor time.Duration
 
 	// sends counts the servers that the request was sent to; mayHaveRun is set when one of them may have started it.
 	sends        int
--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -305,6 +305,13 @@
 	return a
 }
 
+// InFlight reports whether a run of the request is in flight on this node.
+func (t *Tracker) InFlight(digest string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inFlight[digest] > 0
+}
+
 // TryStart records that a request is in flight on a server. It returns false and records nothing when the request must
 // not run, because it is held or quarantined, or is to run in isolation and is already in flight.
 func (t *Tracker) TryStart(server, digest string, now time.Time) (*Run, bool) {
