edge, dispatch: an error response withdraws no strikes

Callers saw a request being sent to servers again and again that had ended under it. Cause: any answer of a server counted as a completed run, which withdraws all strikes. A server in trouble answers part of its requests with an error, also without running them, so a request that crashes sound servers lost its strikes there. Change: only a response without a server error is a completed run, on both front doors; an error says neither.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -273,6 +273,8 @@
 func (c *serverCall) send(ctx context.Context, request backend.CallRequest) (backend.CallResponse, error) {
 	response, err := c.dispatcher.sendTo(ctx, &c.pick, request)
 	switch {
+	case err == nil && response.Status >= http.StatusInternalServerError:
+		c.end(strike.Abandoned) // a failing server may answer so without running the call
 	case err == nil:
 		c.end(strike.Completed)
 	case ctx.Err() == nil && errors.Is(err, backend.ErrInterrupted):
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -148,3 +148,30 @@
 	assert.Equal(t, n.do(t, call{method: http.MethodGet, path: "/look/a"}).status, http.StatusBadGateway)
 	assert.Equal(t, n.do(t, call{method: http.MethodGet, path: "/look/a"}).status, http.StatusOK)
 }
+
+// Guards against a strike that is withdrawn because a server answered the request with an error, which a failing server
+// may do without running it.
+func TestErrorResponseWithdrawsNoStrike(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	var mu sync.Mutex
+	behaviors := []standin.Behavior{{Crash: true}, {Fail: true}, {Crash: true}}
+	for i := range 5 {
+		d.serve(fmt.Sprint("desk-", i), "desk", 0).SetBehavior(func(*http.Request) standin.Behavior {
+			mu.Lock()
+			defer mu.Unlock()
+			if len(behaviors) == 0 {
+				return standin.Behavior{}
+			}
+			next := behaviors[0]
+			behaviors = behaviors[1:]
+			return next
+		})
+	}
+	n := d.node()
+	for _, status := range []int{http.StatusBadGateway, http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable} {
+		assert.Equal(t, n.do(t, call{path: "/book/1"}).status, status)
+		time.Sleep(time.Second) // until a crash has been noticed
+	}
+}
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -91,7 +91,7 @@
 	if req.outcome == "" {
 		req.outcome = logline.Served
 	}
-	return sendResult{status: delivered}
+	return sendResult{status: delivered, completed: resp.StatusCode < http.StatusInternalServerError}
 }
 
 // checkReply detects responses that cannot be passed to the caller.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -57,6 +57,8 @@
 	status   status
 	reason   string
 	response *bufferedResponse
+	// completed is set if the server completed the request without an error of its own.
+	completed bool
 	// connRefused is set if the server refused the connection, connLost if an established one broke.
 	connRefused, connLost bool
 	// retryReserved is set if a retry has already been taken from the budget.
@@ -205,14 +207,14 @@
 	case delivered:
 		ticket.End(placement.Served, now)
 		n.outliers.Observe(ticket.Server.ID, true)
-		run.End(strike.Completed, now)
+		run.End(runOutcome(result), now)
 	case notRun:
 		ticket.End(placement.Refused, now)
 		run.End(strike.Abandoned, now)
 	case serverFailed:
 		ticket.End(placement.Failed, now)
 		n.outliers.Observe(ticket.Server.ID, false)
-		run.End(strike.Completed, now)
+		run.End(runOutcome(result), now)
 	case responseLost:
 		req.logDigest = true
 		ticket.End(placement.Failed, now)
@@ -236,6 +238,15 @@
 	return result
 }
 
+// runOutcome is the outcome of a run that the server answered. Only a completed one shows that the request does not crash
+// its servers; a failing server may answer with an error without running it.
+func runOutcome(result sendResult) strike.Outcome {
+	if result.completed {
+		return strike.Completed
+	}
+	return strike.Abandoned
+}
+
 // checkRetry decides what follows a failed send: nil means a retry on another server.
 func (n *Node) checkRetry(ctx context.Context, req *request, result sendResult) *code.Error {
 	if ctx.Err() != nil || result.status == canceled {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -66,7 +66,7 @@
 	err = s.copyEvents(resp, ticket, stall)
 	if err == nil {
 		s.req.outcome = logline.Served
-		return sendResult{status: delivered}
+		return sendResult{status: delivered, completed: true}
 	}
 	return s.classify(ctx, err)
 }
