edge: crash records reach nodes that restart, return or are busy with others

Callers saw a request being sent to servers again and again that had ended under it, after nodes had been killed. Cause: a node kept only the 16 latest records for sending, and only those that it had changed itself; older ones followed one every 3 s. A restarted node learned of a quarantine late, and never once all nodes that had decided it had restarted; a wave of crashes that gives strikes to more than 16 requests on a node pushed the other records out for good. Change: records are kept for sending up to the bound of the tracker; each is sent at least once, those with most strikes first. When a node appears, returns or restarts, the records with several strikes are sent once more, also received ones. Result: TestQuarantineReachesRestartedNodes (clear on the last restarted node) and TestStrikesReachAllNodesAmongManyOthers (no node received the strike) fail without the change and pass with it. TestQuarantineReachesAllNodesDespiteLostHeartbeats, half of the heartbeats lost, passes before and after; TestOldCrashRecordsAreSentInRotation passes unchanged.

--- a/internal/edge/crashdetector.go
+++ b/internal/edge/crashdetector.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,9 +28,9 @@
 	crashLinger     = 1500 * time.Millisecond
 	crashExpiry     = 2 * time.Minute
 	maxCrashRecords = 512
-	// maxSentCrashes limits the records sent to other nodes. A new record is sent for newCrashPeriod, which is several
-	// heartbeats. Older ones are sent in rotation, each for crashRotation, at least one heartbeat, for nodes that have
-	// started since.
+	// maxSentCrashes limits the records in one heartbeat. A new record is sent at least once, and usually in several
+	// heartbeats during newCrashPeriod. Older ones are sent in rotation, each for crashRotation, at least one heartbeat,
+	// for nodes that have missed them.
 	maxSentCrashes = 16
 	newCrashPeriod = 2 * time.Second
 	crashRotation  = 3 * time.Second
@@ -42,7 +44,7 @@
 
 	mu      sync.Mutex
 	servers map[string]serving.Server
-	// records are sent to the other nodes, newest last.
+	// records are sent to the other nodes, newest last. They are at most maxCrashRecords.
 	records []sentCrash
 	// lastLogged holds the last logged record of each digest. Unchanged records recur, because a record is sent again
 	// while peers lack part of it.
@@ -53,6 +55,7 @@
 type sentCrash struct {
 	strike.Change
 	updatedAt time.Time
+	sends     int // since updatedAt
 }
 
 func newCrashDetector(m *metrics.Set, log *logrus.Entry) *crashDetector {
@@ -83,16 +86,33 @@
 	defer d.mu.Unlock()
 	for _, c := range changes {
 		d.logChange(c)
-		for i, old := range d.records {
-			if old.Digest == c.Digest {
-				d.records = append(d.records[:i], d.records[i+1:]...)
-				break
-			}
-		}
-		d.records = append(d.records, sentCrash{c, now})
 	}
-	if excess := len(d.records) - maxSentCrashes; excess > 0 {
-		d.records = append([]sentCrash(nil), d.records[excess:]...)
+	d.enqueue(changes, now)
+}
+
+// peerDiscovered sends the records that restrict requests once more: a node that has appeared, returned or restarted may
+// have missed them, also those that this node has only received.
+func (d *crashDetector) peerDiscovered(now time.Time) {
+	restrictions := d.tracker.Restrictions(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.enqueue(restrictions, now)
+}
+
+// enqueue adds records to those sent, in place of older ones of the same requests. If there are too many, those with the
+// fewest strikes are dropped, and the oldest among equals.
+func (d *crashDetector) enqueue(changes []strike.Change, now time.Time) {
+	replaced := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		replaced[c.Digest] = true
+	}
+	d.records = slices.DeleteFunc(d.records, func(r sentCrash) bool { return replaced[r.Digest] })
+	for _, c := range changes {
+		d.records = append(d.records, sentCrash{Change: c, updatedAt: now})
+	}
+	if excess := len(d.records) - maxCrashRecords; excess > 0 {
+		slices.SortStableFunc(d.records, func(a, b sentCrash) int { return cmp.Compare(a.Record.Strikes(), b.Record.Strikes()) })
+		d.records = slices.Delete(d.records, 0, excess)
 	}
 }
 
@@ -110,17 +130,29 @@
 		Info(logline.CrashRecord)
 }
 
-// export returns the records for one heartbeat.
+// export returns the records for one heartbeat: new ones, those with most strikes first and then those sent least often,
+// and old ones in rotation.
 func (d *crashDetector) export(now time.Time) []*pb.CrashRecord {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []*pb.CrashRecord
-	for i, c := range d.records {
-		if now.Sub(c.updatedAt) < newCrashPeriod || int(now.UnixNano()/int64(crashRotation))%len(d.records) == i {
-			out = append(out, &pb.CrashRecord{Digest: c.Digest, Servers: c.Record.Servers, Correlated: c.Record.Correlated,
-				Quarantined: c.Record.Quarantined})
+	rotated := int(now.UnixNano()/int64(crashRotation)) % max(len(d.records), 1)
+	var due []*sentCrash
+	for i := range d.records {
+		r := &d.records[i]
+		if now.Sub(r.updatedAt) < newCrashPeriod || r.sends == 0 || i == rotated {
+			due = append(due, r)
 		}
 	}
+	slices.SortStableFunc(due, func(a, b *sentCrash) int {
+		return cmp.Or(cmp.Compare(b.Record.Strikes(), a.Record.Strikes()), cmp.Compare(a.sends, b.sends))
+	})
+	due = due[:min(len(due), maxSentCrashes)]
+	var out []*pb.CrashRecord
+	for _, r := range due {
+		r.sends++
+		out = append(out, &pb.CrashRecord{Digest: r.Digest, Servers: r.Record.Servers, Correlated: r.Record.Correlated,
+			Quarantined: r.Record.Quarantined})
+	}
 	return out
 }
 
--- a/internal/edge/crashdetector_test.go
+++ b/internal/edge/crashdetector_test.go
@@ -47,7 +47,7 @@
 	now := time.Unix(1000, 0)
 	for i := range 10 {
 		change := strike.Change{Digest: fmt.Sprint(i), Record: strike.Record{Servers: []string{"i-1"}}}
-		g.records = append(g.records, sentCrash{change, now})
+		g.records = append(g.records, sentCrash{Change: change, updatedAt: now})
 	}
 	assert.Equal(t, len(g.export(now)), 10)
 	sent := map[string]bool{}
--- /dev/null
+++ b/internal/edge/crashrecords_test.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/pollenlug/pollenlug/internal/metrics"
+	"github.com/pollenlug/pollenlug/pkg/serving"
+	"github.com/pollenlug/pollenlug/pkg/strike"
+)
+
+// detectorNet exchanges the crash records of several nodes in virtual time, as their heartbeats do.
+type detectorNet struct {
+	now   time.Time
+	rng   *rand.Rand
+	nodes []*crashDetector
+	// loss is the fraction of the heartbeats that are lost.
+	loss float64
+}
+
+func newDetectorNet(nodes int) *detectorNet {
+	net := &detectorNet{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 18)), nodes: make([]*crashDetector, nodes)}
+	for i := range nodes {
+		net.restart(i)
+	}
+	return net
+}
+
+// restart replaces a node by one that knows nothing. The others notice it.
+func (net *detectorNet) restart(i int) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	net.nodes[i] = newCrashDetector(metrics.NewSet(), logrus.NewEntry(logger))
+	for j, other := range net.nodes {
+		if j != i && other != nil {
+			other.peerDiscovered(net.now)
+		}
+	}
+}
+
+func (net *detectorNet) run(d time.Duration) {
+	for end := net.now.Add(d); net.now.Before(end); {
+		net.now = net.now.Add(minHeartbeatInterval)
+		for i, sender := range net.nodes {
+			sender.tracker.Tick(net.now)
+			sender.collect(net.now)
+			records := sender.export(net.now)
+			for j, receiver := range net.nodes {
+				if i != j && net.rng.Float64() >= net.loss {
+					receiver.merge(records, net.now)
+				}
+			}
+		}
+	}
+}
+
+// crash has a node run requests on a server and notice its crash.
+func (net *detectorNet) crash(node int, server string, digests ...string) {
+	for _, digest := range digests {
+		run, ok := net.nodes[node].tracker.TryStart(server, digest, net.now)
+		if ok {
+			run.End(strike.Interrupted, net.now)
+		}
+	}
+	net.nodes[node].recordCrash(serving.Server{ID: server, Domain: "domain-" + server, Born: 1}, "probe_refused", net.now)
+}
+
+// quarantine has two nodes notice crashes under a request.
+func (net *detectorNet) quarantine(digest string) {
+	net.crash(0, "s1-"+digest, digest)
+	net.run(5 * time.Second) // so that the crashes are not correlated
+	net.crash(1, "s2-"+digest, digest)
+	net.run(3 * time.Second)
+}
+
+func (net *detectorNet) assertState(t *testing.T, digest string, want strike.State) {
+	t.Helper()
+	for i, n := range net.nodes {
+		state, _ := n.tracker.State(digest, net.now)
+		assert.Equal(t, state, want, "node %d", i)
+	}
+}
+
+// Guards against a quarantine that a restarted node does not learn of, although all nodes that decided it restart one
+// after the other.
+func TestQuarantineReachesRestartedNodes(t *testing.T) {
+	net := newDetectorNet(8)
+	net.quarantine("crashing")
+	net.assertState(t, "crashing", strike.Quarantined)
+	for i := range net.nodes {
+		net.restart(i)
+		net.run(time.Second)
+		net.assertState(t, "crashing", strike.Quarantined)
+	}
+}
+
+// Guards against a strike that never leaves its node because a wave of crashes gives strikes to more requests than fit
+// into a heartbeat.
+func TestStrikesReachAllNodesAmongManyOthers(t *testing.T) {
+	net := newDetectorNet(4)
+	var wave []string
+	for i := range 100 {
+		wave = append(wave, fmt.Sprint("innocent-", i))
+	}
+	// Digests are sent in ascending order; this one is the first of the wave.
+	net.crash(0, "s1", append(wave, "crashing")...)
+	net.run(5 * time.Second)
+	net.assertState(t, "crashing", strike.Isolate)
+	net.crash(1, "s2", "crashing")
+	net.run(3 * time.Second)
+	net.assertState(t, "crashing", strike.Quarantined)
+}
+
+// Guards against a quarantine that does not reach all nodes because heartbeats are lost.
+func TestQuarantineReachesAllNodesDespiteLostHeartbeats(t *testing.T) {
+	net := newDetectorNet(8)
+	net.loss = 0.5
+	net.quarantine("crashing")
+	net.assertState(t, "crashing", strike.Quarantined)
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -116,7 +116,7 @@
 	n.fetcher = newFetcher(n.config, n.servers, o.Log)
 	n.peers = &peers{self: o.Settings.Node, addr: o.Settings.PeerAddr, store: o.Store, log: o.Log, started: now.UnixMilli(),
 		compose: n.composeHeartbeat, composeUrgent: n.composeUrgent, usageWindows: n.usageWindows,
-		received: n.handleHeartbeat, restarted: n.peerRestarted, nodes: map[string]*peerNode{}, maxNodesSeen: 1, urgent: make(chan struct{}, 1)}
+		received: n.handleHeartbeat, discovered: n.crashes.peerDiscovered, restarted: n.peerRestarted, nodes: map[string]*peerNode{}, maxNodesSeen: 1, urgent: make(chan struct{}, 1)}
 	readers := &readerSelection{readerRank: n.peers.readerRank, nodeRank: n.peers.nodeRank, lost: &atomic.Int32{}}
 	n.peers.readers, n.config.readers, n.servers.readers = readers, readers, readers
 	n.servers.heartbeatInterval, n.servers.onStoreChange, n.config.onStoreChange =
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -54,14 +54,16 @@
 	conn  *net.UDPConn
 	// write sends one datagram.
 	write func(data []byte, to netip.AddrPort)
-	// compose builds this node's heartbeat. received is called with each heartbeat of another node, restarted when a
-	// node is found to have restarted, with the start time of its previous incarnation.
+	// compose builds this node's heartbeat. received is called with each heartbeat of another node, discovered when a node
+	// has appeared, returned or restarted, restarted when a node is found to have restarted, with the start time of its
+	// previous incarnation.
 	compose func(now time.Time) *pb.PeerBeat
 	// composeUrgent builds the part of the heartbeat that cannot wait for the next regular one.
 	composeUrgent func(now time.Time) *pb.PeerBeat
 	// usageWindows builds the part that is sent to usage receivers only.
 	usageWindows func(now time.Time) []*pb.UsageWindow
 	received     func(heartbeat *pb.PeerBeat, now time.Time)
+	discovered   func(now time.Time)
 	restarted    func(node string, started int64)
 	started      int64
 
@@ -248,6 +250,7 @@
 	}
 	if appeared {
 		p.log.WithFields(logrus.Fields{"peer": heartbeat.Node, "started": heartbeat.Started}).Info(logline.NodeDiscovered)
+		p.discovered(now)
 	}
 	p.received(heartbeat, now)
 }
--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -120,6 +120,17 @@
 	Quarantined bool
 }
 
+// Strikes returns the number of strikes that are not withdrawn.
+func (r Record) Strikes() int {
+	n := 0
+	for _, name := range r.Servers {
+		if !strings.HasPrefix(name, withdrawnMark) {
+			n++
+		}
+	}
+	return n
+}
+
 // Change is a record to publish to other nodes.
 type Change struct {
 	Digest string
@@ -666,10 +677,29 @@
 		}
 	}
 	clear(t.changed)
-	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.Digest, b.Digest) })
+	sortChanges(out)
+	return out
+}
+
+// Restrictions returns the records of all requests that are quarantined or have several strikes, ordered by digest,
+// for a node that may know none of them.
+func (t *Tracker) Restrictions(now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Change
+	for digest, r := range t.records {
+		if now.Sub(r.changedAt) < t.opts.Expiry && len(r.struck) > 1 {
+			out = append(out, Change{Digest: digest, Record: r.export()})
+		}
+	}
+	sortChanges(out)
 	return out
 }
 
+func sortChanges(changes []Change) {
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Digest, b.Digest) })
+}
+
 // Quarantines returns the digests that are quarantined now, in ascending order.
 func (t *Tracker) Quarantines(now time.Time) []string {
 	t.mu.Lock()
