edge: crash records expire at the same age on all nodes

Callers could see a request refused for as long as the deployment runs. Cause: a node went on sending a record in rotation after its own had expired, and receivers took it for a new one with a lifetime of its own; so nodes revived each other's records for ever. Change: a record carries the time since its last change. Expired ones are neither sent nor merged. Result: TestSentCrashRecordsExpire fails without the change (quarantined on all nodes after the expiry) and passes with it; in TestOldCrashRecordsAreSentInRotation the records get a time of change, its checks are the same.

--- a/internal/edge/crashdetector.go
+++ b/internal/edge/crashdetector.go
@@ -135,6 +135,7 @@
 func (d *crashDetector) export(now time.Time) []*pb.CrashRecord {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.records = slices.DeleteFunc(d.records, func(r sentCrash) bool { return now.Sub(r.ChangedAt) >= crashExpiry })
 	rotated := int(now.UnixNano()/int64(crashRotation)) % max(len(d.records), 1)
 	var due []*sentCrash
 	for i := range d.records {
@@ -151,14 +152,15 @@
 	for _, r := range due {
 		r.sends++
 		out = append(out, &pb.CrashRecord{Digest: r.Digest, Servers: r.Record.Servers, Correlated: r.Record.Correlated,
-			Quarantined: r.Record.Quarantined})
+			Quarantined: r.Record.Quarantined, AgeMs: uint32(now.Sub(r.ChangedAt).Milliseconds())})
 	}
 	return out
 }
 
 func (d *crashDetector) merge(records []*pb.CrashRecord, now time.Time) {
 	for _, r := range records {
-		d.tracker.Merge(r.Digest, strike.Record{Servers: r.Servers, Correlated: r.Correlated, Quarantined: r.Quarantined}, now)
+		d.tracker.MergeChange(strike.Change{Digest: r.Digest, ChangedAt: now.Add(-time.Duration(r.AgeMs) * time.Millisecond),
+			Record: strike.Record{Servers: r.Servers, Correlated: r.Correlated, Quarantined: r.Quarantined}}, now)
 	}
 }
 
--- a/internal/edge/crashdetector_test.go
+++ b/internal/edge/crashdetector_test.go
@@ -46,7 +46,7 @@
 	g := newCrashDetector(metrics.NewSet(), logrus.NewEntry(logger))
 	now := time.Unix(1000, 0)
 	for i := range 10 {
-		change := strike.Change{Digest: fmt.Sprint(i), Record: strike.Record{Servers: []string{"i-1"}}}
+		change := strike.Change{Digest: fmt.Sprint(i), Record: strike.Record{Servers: []string{"i-1"}}, ChangedAt: now}
 		g.records = append(g.records, sentCrash{Change: change, updatedAt: now})
 	}
 	assert.Equal(t, len(g.export(now)), 10)
--- a/internal/edge/crashrecords_test.go
+++ b/internal/edge/crashrecords_test.go
@@ -124,3 +124,17 @@
 	net.quarantine("crashing")
 	net.assertState(t, "crashing", strike.Quarantined)
 }
+
+// Guards against records that never expire because nodes go on sending them to each other.
+func TestSentCrashRecordsExpire(t *testing.T) {
+	net := newDetectorNet(4)
+	net.quarantine("crashing")
+	net.run(crashExpiry)
+	net.assertState(t, "crashing", strike.Clear)
+	net.restart(0)
+	net.run(3 * crashRotation)
+	net.assertState(t, "crashing", strike.Clear)
+	for _, n := range net.nodes {
+		assert.Equal(t, len(n.export(net.now)), 0)
+	}
+}
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -25,7 +25,7 @@
 func TestHeartbeatsOfEarlierIncarnations(t *testing.T) {
 	var received, restarted []int64
 	p := &peers{self: "self", log: logrus.NewEntry(logrus.New()), nodes: map[string]*peerNode{}, maxNodesSeen: 1,
-		received:  func(b *pb.PeerBeat, _ time.Time) { received = append(received, b.Started) },
+		received:   func(b *pb.PeerBeat, _ time.Time) { received = append(received, b.Started) },
 		discovered: func(time.Time) {}, restarted: func(_ string, started int64) { restarted = append(restarted, started) }}
 	now := time.Unix(1000, 0)
 	receive := func(at int64) { p.handleHeartbeat(&pb.PeerBeat{Node: "a", PeerAddr: "10.0.0.1:1", Started: at}, now) }
--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -135,6 +135,8 @@
 type Change struct {
 	Digest string
 	Record Record
+	// ChangedAt is when the record last changed on any node.
+	ChangedAt time.Time
 }
 
 // Verdict is what a node decided on a strike or on a broken connection.
@@ -470,7 +472,7 @@
 }
 
 func (t *Tracker) addStrike(digest, incident string, now time.Time) {
-	r := t.recordFor(digest, now)
+	r := t.recordFor(digest, now, now)
 	if r.withdrawn[incident] || len(r.struck)+len(r.withdrawn) >= maxIncidents {
 		return
 	}
@@ -482,13 +484,14 @@
 	t.changed[digest] = true
 }
 
-func (t *Tracker) recordFor(digest string, now time.Time) *record {
+// recordFor returns the record of a digest, or a new one with this time of change.
+func (t *Tracker) recordFor(digest string, changedAt, now time.Time) *record {
 	r := t.records[digest]
 	if r == nil || now.Sub(r.changedAt) >= t.opts.Expiry {
 		if r == nil && len(t.records) >= t.opts.MaxRecords {
 			t.evict()
 		}
-		r = &record{struck: make(map[string]incidentStrike), withdrawn: make(map[string]bool), changedAt: now}
+		r = &record{struck: make(map[string]incidentStrike), withdrawn: make(map[string]bool), changedAt: changedAt}
 		t.records[digest] = r
 	}
 	return r
@@ -598,14 +601,21 @@
 	return nil
 }
 
-// Merge merges the record of a digest received from another node and reports whether this node's record changed.
+// Merge merges the record of a digest that another node has just changed, and reports whether this node's record changed.
 func (t *Tracker) Merge(digest string, received Record, now time.Time) bool {
+	return t.MergeChange(Change{Digest: digest, Record: received, ChangedAt: now}, now)
+}
+
+// MergeChange merges a record received from another node and reports whether this node's record changed. An expired
+// record is ignored; without its time of change, nodes would revive each other's records for ever.
+func (t *Tracker) MergeChange(c Change, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(received.Servers) == 0 {
+	digest, received := c.Digest, c.Record
+	if len(received.Servers) == 0 || now.Sub(c.ChangedAt) >= t.opts.Expiry {
 		return false
 	}
-	r := t.recordFor(digest, now)
+	r := t.recordFor(digest, c.ChangedAt, now)
 	changed := false
 	for _, name := range received.Servers {
 		incident, withdrawn := strings.CutPrefix(name, withdrawnMark)
@@ -634,7 +644,7 @@
 		changed = true
 	}
 	if changed {
-		r.changedAt = now
+		r.changedAt = later(r.changedAt, c.ChangedAt)
 	}
 	// Several nodes write the same gossip key. If the sender's record lacks anything that this node has, the merged record
 	// must be published again, or the difference would be lost.
@@ -673,7 +683,7 @@
 	var out []Change
 	for digest := range t.changed {
 		if r := t.records[digest]; r != nil {
-			out = append(out, Change{Digest: digest, Record: r.export()})
+			out = append(out, Change{Digest: digest, Record: r.export(), ChangedAt: r.changedAt})
 		}
 	}
 	clear(t.changed)
@@ -689,7 +699,7 @@
 	var out []Change
 	for digest, r := range t.records {
 		if now.Sub(r.changedAt) < t.opts.Expiry && len(r.struck) > 1 {
-			out = append(out, Change{Digest: digest, Record: r.export()})
+			out = append(out, Change{Digest: digest, Record: r.export(), ChangedAt: r.changedAt})
 		}
 	}
 	sortChanges(out)
