strike: a crash counts once while the dead server is still listed

Callers saw a request being sent to servers again and again that had ended under it. Cause: a crash was forgotten 4.2 s after it had happened. The row of a dead server lives as long or longer, and each refused connection after that was a new crash at that moment, which made other crashes look correlated. For the same reason a reclaim notice that came later withdrew no strike. Change: crashes are remembered for a minute. Result: TestCrashOfOneProcessCountsOnce fails without the change (clear instead of quarantined) and passes with it.

--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -89,6 +89,8 @@
 	maxIncidents     = 16 // of one record, withdrawn ones included
 	maxCrashes       = 4096
 	withdrawnMark    = "-"
+	// crashRetention is how long a crash is remembered. Nodes may see signs of it as long as others list the server.
+	crashRetention = time.Minute
 )
 
 // Crash describes a server that crashed or became unreachable.
@@ -185,7 +187,7 @@
 	// interrupted holds, by digest, the runs whose connection broke and whose server may turn out to have crashed.
 	interrupted map[string][]*Run
 	records     map[string]*record
-	crashes     []crash // the last maxCrashes; decided ones for Window plus Delay
+	crashes     []crash // the last maxCrashes; decided ones for crashRetention
 	changed     map[string]bool
 	decisions   []Decision
 }
@@ -414,8 +416,8 @@
 
 // RecordCrash gives a provisional strike to each request in flight on a crashed server. Tick decides on it later. The
 // same crash may be reported again: if HadNotice or Unreachable is set by then, for example because a reclaim notice
-// became known, its strikes are withdrawn. That needs the crash in t.crashes, which holds the last maxCrashes crashes,
-// and decided ones only for Window plus Delay. recorded is false for a known crash; runs is the number of runs in flight
+// became known, its strikes are withdrawn, if the crash is still among the last maxCrashes and younger than
+// crashRetention. recorded is false for a known crash; runs is the number of runs in flight
 // on the server.
 func (t *Tracker) RecordCrash(c Crash, now time.Time) (runs int, recorded bool) {
 	t.mu.Lock()
@@ -522,7 +524,7 @@
 		}
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool {
-		return c.decided && now.Sub(c.at) > t.opts.Window+t.opts.Delay
+		return c.decided && now.Sub(c.at) > max(crashRetention, t.opts.Window+t.opts.Delay)
 	})
 	t.expire(now)
 }
--- a/pkg/strike/strike_test.go
+++ b/pkg/strike/strike_test.go
@@ -285,3 +285,19 @@
 		assert.Equal(t, tc.state(node, "a"), Clear)
 	}
 }
+
+// Guards against a crash that counts again while the row of the dead server remains and connections to it are refused:
+// each time it would make other crashes look correlated.
+func TestCrashOfOneProcessCountsOnce(t *testing.T) {
+	tc := newTestCluster(1)
+	dead := Crash{Server: "dead", Domain: "d0", Started: 1}
+	tc.reportCrash(dead)
+	for i := range 2 {
+		tc.run(10 * time.Second)
+		startRun(t, tc, 0, fmt.Sprint("s", i), "poison").End(Interrupted, tc.now)
+		tc.reportCrash(Crash{Server: fmt.Sprint("s", i), Domain: "d0", Started: 1})
+		tc.reportCrash(dead)
+	}
+	tc.run(6 * time.Second)
+	assert.Equal(t, tc.state(0, "poison"), Quarantined)
+}
