edge: quarantines survive the loss of all nodes

Callers saw a request being sent to servers again and again that had ended under it, after all nodes had been killed. Cause: quarantines lived in the nodes' memory only, so each loss of all nodes at the same time let the request crash two to four more servers. Change: one node, the first that can reach the store, keeps a row for each quarantined request; a node reads them when it starts, unless the deployment starts for the first time, and passes them on. The rows keep the time of the last change, so a restart does not lengthen the quarantine. Result: TestQuarantineSurvivesTheLossOfAllNodes fails without the change (the request runs on the restarted node) and passes with it, as does TestQuarantineRowsExpire.

--- a/internal/edge/crashdetector.go
+++ b/internal/edge/crashdetector.go
@@ -90,9 +90,9 @@
 	d.enqueue(changes, now)
 }
 
-// peerDiscovered sends the records that restrict requests once more: a node that has appeared, returned or restarted may
-// have missed them, also those that this node has only received.
-func (d *crashDetector) peerDiscovered(now time.Time) {
+// resendRestrictions sends the records that restrict requests once more, also those that this node has only received. It
+// is called when a node that has missed them may have appeared, returned or restarted.
+func (d *crashDetector) resendRestrictions(now time.Time) {
 	restrictions := d.tracker.Restrictions(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -151,19 +151,32 @@
 	var out []*pb.CrashRecord
 	for _, r := range due {
 		r.sends++
-		out = append(out, &pb.CrashRecord{Digest: r.Digest, Servers: r.Record.Servers, Correlated: r.Record.Correlated,
-			Quarantined: r.Record.Quarantined, AgeMs: uint32(now.Sub(r.ChangedAt).Milliseconds())})
+		message := encodeCrashRecord(r.Change)
+		message.AgeMs = uint32(now.Sub(r.ChangedAt).Milliseconds())
+		out = append(out, message)
 	}
 	return out
 }
 
 func (d *crashDetector) merge(records []*pb.CrashRecord, now time.Time) {
 	for _, r := range records {
-		d.tracker.MergeChange(strike.Change{Digest: r.Digest, ChangedAt: now.Add(-time.Duration(r.AgeMs) * time.Millisecond),
-			Record: strike.Record{Servers: r.Servers, Correlated: r.Correlated, Quarantined: r.Quarantined}}, now)
+		change := decodeCrashRecord(r)
+		change.ChangedAt = now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+		d.tracker.MergeChange(change, now)
 	}
 }
 
+// encodeCrashRecord returns the message of a record without its age.
+func encodeCrashRecord(c strike.Change) *pb.CrashRecord {
+	return &pb.CrashRecord{Digest: c.Digest, Servers: c.Record.Servers, Correlated: c.Record.Correlated, Quarantined: c.Record.Quarantined}
+}
+
+// decodeCrashRecord returns the record of a message without its time of change.
+func decodeCrashRecord(r *pb.CrashRecord) strike.Change {
+	return strike.Change{Digest: r.GetDigest(),
+		Record: strike.Record{Servers: r.GetServers(), Correlated: r.GetCorrelated(), Quarantined: r.GetQuarantined()}}
+}
+
 // serversChanged records a crash for each server that has restarted under the same id. A vanished row is no sign of a
 // crash: some servers leave without announcing it and go on serving for a while.
 func (d *crashDetector) serversChanged(servers []serving.Server, now time.Time) {
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -104,6 +104,27 @@
 	}
 }
 
+// Guards against a quarantine that ends when all nodes restart at the same time, and against rows that outlive it.
+func TestQuarantineSurvivesTheLossOfAllNodes(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	record := d.serveCrashing(8, 4)
+	n := d.node()
+	refused := func(n *runningNode) bool {
+		return n.do(t, call{method: http.MethodGet, path: crashingPath}).status == http.StatusServiceUnavailable
+	}
+	eventually(t, 10*time.Second, "the request is not refused", func() bool { return refused(n) })
+	time.Sleep(time.Second) // until the row is written
+	n.stop()
+	<-n.done
+	_, before := record.late()
+	restarted := d.node()
+	assert.Assert(t, refused(restarted))
+	_, after := record.late()
+	assert.Equal(t, after, before)
+}
+
 // Guards against a strike for a request that a crashed server refused a connection and that never ran there: two of them
 // quarantine a request that has crashed nothing.
 func TestRefusedConnectionGivesNoStrike(t *testing.T) {
--- a/internal/edge/crashrecords_test.go
+++ b/internal/edge/crashrecords_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pollenlug/pollenlug/internal/metrics"
+	"github.com/pollenlug/pollenlug/pkg/platform"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 	"github.com/pollenlug/pollenlug/pkg/strike"
 )
@@ -39,7 +41,7 @@
 	net.nodes[i] = newCrashDetector(metrics.NewSet(), logrus.NewEntry(logger))
 	for j, other := range net.nodes {
 		if j != i && other != nil {
-			other.peerDiscovered(net.now)
+			other.resendRestrictions(net.now)
 		}
 	}
 }
@@ -138,3 +140,52 @@
 		assert.Equal(t, len(n.export(net.now)), 0)
 	}
 }
+
+// rowTable holds the rows of one table.
+type rowTable struct {
+	platform.Table
+	rows map[string][]byte
+}
+
+func (r *rowTable) Commit(_ context.Context, mutations []platform.Mutation) ([]uint64, error) {
+	for _, m := range mutations {
+		if m.Delete {
+			delete(r.rows, m.Key)
+		} else {
+			r.rows[m.Key] = m.Value
+		}
+	}
+	return make([]uint64, len(mutations)), nil
+}
+
+func (r *rowTable) list(context.Context, string) ([]platform.Row, uint64, error) {
+	var out []platform.Row
+	for key, value := range r.rows {
+		out = append(out, platform.Row{Key: key, Value: value})
+	}
+	return out, 1, nil
+}
+
+// Guards against rows of quarantined requests that outlive the quarantine, or lengthen it each time a node starts.
+func TestQuarantineRowsExpire(t *testing.T) {
+	net := newDetectorNet(2)
+	table := &rowTable{rows: map[string][]byte{}}
+	rowsOf := func(i int) *quarantineRows {
+		return &quarantineRows{store: table, list: table.list, tracker: net.nodes[i].tracker, loaded: net.nodes[i].resendRestrictions, log: net.nodes[i].log, stored: map[string]strike.Record{}}
+	}
+	ctx := context.Background()
+	net.quarantine("crashing")
+	assert.NilError(t, rowsOf(0).sync(ctx, net.now))
+	assert.Equal(t, len(table.rows), 1)
+	net.now = net.now.Add(crashExpiry / 2)
+	net.restart(0)
+	net.restart(1)
+	rows := rowsOf(0)
+	assert.NilError(t, rows.load(ctx, net.now))
+	net.run(time.Second)
+	net.assertState(t, "crashing", strike.Quarantined)
+	net.run(crashExpiry / 2)
+	net.assertState(t, "crashing", strike.Clear)
+	assert.NilError(t, rows.sync(ctx, net.now))
+	assert.Equal(t, len(table.rows), 0)
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -21,6 +21,7 @@
 	"github.com/pollenlug/pollenlug/pkg/placement"
 	"github.com/pollenlug/pollenlug/pkg/quota"
 	"github.com/pollenlug/pollenlug/pkg/serving"
+	"github.com/pollenlug/pollenlug/pkg/strike"
 	"github.com/pollenlug/pollenlug/pkg/usage"
 )
 
@@ -81,8 +82,10 @@
 	usage    *usage.Counter
 	crashes  *crashDetector
 	prober   *crashProber
-	demand   *demandMeter
-	memory   *bodyMemory
+	// quarantined keeps the decisions of crashes in the store.
+	quarantined *quarantineRows
+	demand      *demandMeter
+	memory      *bodyMemory
 
 	retriesMu sync.Mutex
 	retries   map[string]*limit.RetryWindow
@@ -116,9 +119,11 @@
 	n.fetcher = newFetcher(n.config, n.servers, o.Log)
 	n.peers = &peers{self: o.Settings.Node, addr: o.Settings.PeerAddr, store: o.Store, log: o.Log, started: now.UnixMilli(),
 		compose: n.composeHeartbeat, composeUrgent: n.composeUrgent, usageWindows: n.usageWindows,
-		received: n.handleHeartbeat, discovered: n.crashes.peerDiscovered, restarted: n.peerRestarted, nodes: map[string]*peerNode{}, maxNodesSeen: 1, urgent: make(chan struct{}, 1)}
+		received: n.handleHeartbeat, discovered: n.crashes.resendRestrictions, restarted: n.peerRestarted, nodes: map[string]*peerNode{}, maxNodesSeen: 1, urgent: make(chan struct{}, 1)}
 	readers := &readerSelection{readerRank: n.peers.readerRank, nodeRank: n.peers.nodeRank, lost: &atomic.Int32{}}
 	n.peers.readers, n.config.readers, n.servers.readers = readers, readers, readers
+	n.quarantined = &quarantineRows{store: o.Store, list: o.Store.Snapshot, tracker: n.crashes.tracker, loaded: n.crashes.resendRestrictions, log: o.Log,
+		isWriter: func() bool { return readers.lost.Load() == 0 && n.peers.readerRank() == 0 }, stored: map[string]strike.Record{}}
 	n.servers.heartbeatInterval, n.servers.onStoreChange, n.config.onStoreChange =
 		n.peers.heartbeatInterval, n.peers.requestUrgent, n.peers.requestUrgent
 	return n
@@ -142,6 +147,7 @@
 		n.crashes.run, n.callers.run, n.logSummaries, n.estimateUnreported} {
 		work.Go(func() { run(background) })
 	}
+	work.Go(func() { n.quarantined.run(background, n.settings.FirstStart) })
 	dutiesCtx, stopDuties := context.WithCancel(background)
 	defer stopDuties()
 	work.Go(func() { n.runDuties(dutiesCtx) })
