edge: a quarantine holds for all keys of a workspace

Callers could see a request being sent to servers again that had ended under it, after the caller had changed its key. Cause: the digest of a request contained the API key. The crash depends on what the server gets, which is the workspace. Change: the digest contains the workspace instead. Result: TestQuarantineHoldsForAllKeysOfTheWorkspace fails without the change (502, the request ran) and passes with it.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -196,3 +196,21 @@
 		time.Sleep(time.Second) // until a crash has been noticed
 	}
 }
+
+// Guards against a quarantine that ends when the caller's workspace uses another of its keys.
+func TestQuarantineHoldsForAllKeysOfTheWorkspace(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.tenants = []map[string]any{{"name": "guild", "api_keys": []string{"key-1", "key-2"}}}
+	d.configure()
+	record := d.serveCrashing(8, 4)
+	n := d.node()
+	status := func(key string) int {
+		return n.do(t, call{method: http.MethodGet, path: crashingPath, header: map[string]string{"Pollenlug-Credential": key}}).status
+	}
+	eventually(t, 10*time.Second, "the request is not refused", func() bool { return status("key-1") == http.StatusServiceUnavailable })
+	_, before := record.late()
+	assert.Equal(t, status("key-2"), http.StatusServiceUnavailable)
+	_, after := record.late()
+	assert.Equal(t, after, before)
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -241,11 +241,15 @@
 	return size
 }
 
-// digest hashes the content of a request: method, host, target, API key and body. It does not depend on the node or on
-// the attempt.
+// digest hashes the content of a request: method, host, target, workspace and body. It does not depend on the node, on
+// the attempt or on which of its keys the workspace uses.
 func digest(req *request) string {
 	h := fnv.New64a()
-	for _, part := range []string{req.http.Method, req.http.Host, req.http.RequestURI, req.Key} {
+	workspace := ""
+	if req.workspace != nil {
+		workspace = req.workspace.Name
+	}
+	for _, part := range []string{req.http.Method, req.http.Host, req.http.RequestURI, workspace} {
 		_, _ = h.Write([]byte(part)) // never fails
 		_, _ = h.Write([]byte{0})
 	}
