edge, explain: keep quarantines for an hour, and explain their refusals

Callers could see a request being sent to servers again that had ended under it, two minutes after the last time. Change: an hour on both. pollenlug explain names the servers that crashed under a refused request's content.

--- a/internal/edge/crashdetector.go
+++ b/internal/edge/crashdetector.go
@@ -26,7 +26,7 @@
 	crashWindow     = 3 * time.Second
 	crashDelay      = 1200 * time.Millisecond
 	crashLinger     = 1500 * time.Millisecond
-	crashExpiry     = 2 * time.Minute
+	crashExpiry     = time.Hour
 	maxCrashRecords = 512
 	// maxSentCrashes limits the records in one heartbeat. A new record is sent at least once, and usually in several
 	// heartbeats during newCrashPeriod. Older ones are sent in rotation, each for crashRotation, at least one heartbeat,
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -115,6 +115,9 @@
 		return n.do(t, call{method: http.MethodGet, path: crashingPath}).status == http.StatusServiceUnavailable
 	}
 	eventually(t, 10*time.Second, "the request is not refused", func() bool { return refused(n) })
+	n.do(t, call{method: http.MethodGet, path: crashingPath, header: attemptHeader("refused")})
+	cause := explained(t, d, "refused").Cause
+	assert.Assert(t, strings.Contains(cause, "was running on 2 servers that crashed: desk-"), cause)
 	time.Sleep(time.Second) // until the row is written
 	n.stop()
 	<-n.done
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pollenlug/pollenlug/internal/logline"
@@ -52,6 +53,8 @@
 		a.Cause = "the request was served"
 	case a.Outcome == code.DeadlineUnreachable.String():
 		l.explainOverload(&a)
+	case a.Outcome == code.RequestQuarantined.String():
+		l.explainQuarantine(&a)
 	case a.Outcome == code.NodeLeaving.String():
 		a.Cause = "the node was stopping and redirected the caller to another node"
 		a.Evidence = l.between(a.StartedAt.Add(-eventWindow), line.Time, func(x Line) bool {
@@ -97,6 +100,23 @@
 	}
 }
 
+// explainQuarantine explains a refusal because of crashes by the records and decisions about the request's content, on all
+// nodes.
+func (l *Log) explainQuarantine(a *Attempt) {
+	digest := fieldText(a.Fields[logline.Digest])
+	a.Evidence = l.between(time.Time{}, a.Time, func(x Line) bool {
+		return (x.Message == logline.CrashRecord || x.Message == logline.StrikeDecision) && fieldText(x.Fields[logline.Digest]) == digest
+	})
+	crashed := map[string]bool{}
+	for _, x := range a.Evidence {
+		for _, incident := range fieldList(x.Fields[logline.Servers]) {
+			crashed[strike.ServerOf(incident)] = true
+		}
+	}
+	a.Cause = fmt.Sprintf("%s: its content, digest %s, was running on %d servers that crashed: %s",
+		a.reason(), digest, len(crashed), strings.Join(slices.Sorted(maps.Keys(crashed)), ", "))
+}
+
 // explainServerFailure explains a failure by what the logs say about the last server tried.
 func (l *Log) explainServerFailure(a *Attempt, server string) {
 	a.Evidence = l.between(a.StartedAt.Add(-eventWindow), a.Time.Add(eventWindow), func(x Line) bool {
