httpclient: limit the header of a response to 64 KiB

Callers could see requests fail on a node that had been ended for its memory. Cause: net/http reads up to 10 MiB of a response's header before it gives up. A server in trouble may send a head without end, and each such response takes that much memory of the node. Change: 64 KiB, interim responses included, the limit that callers' headers have.

--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -27,7 +27,12 @@
 	DefaultMaxIdleConnections = 1024
 )
 
-const bufferBytes = 4 << 10
+const (
+	bufferBytes = 4 << 10
+	// maxHeaderBytes limits the header of a response, interim responses included. A server in trouble may send one without
+	// end.
+	maxHeaderBytes = 64 << 10
+)
 
 // Options configure a Client. Zero values select the defaults.
 type Options struct {
@@ -76,13 +81,14 @@
 			}
 			return client.track(c, addr), nil
 		},
-		Protocols:           protocols,
-		DisableCompression:  true,
-		DisableKeepAlives:   o.SingleUse,
-		MaxIdleConnsPerHost: o.MaxIdleConnections,
-		IdleConnTimeout:     o.IdleTimeout,
-		ReadBufferSize:      bufferBytes,
-		WriteBufferSize:     bufferBytes,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		DisableKeepAlives:      o.SingleUse,
+		MaxIdleConnsPerHost:    o.MaxIdleConnections,
+		IdleConnTimeout:        o.IdleTimeout,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return client
 }
