strike: simulate the large deployment as well

74 nodes before 65 servers in 5 failure domains, records that take up to 1.2 s to arrive, 0.6 unrelated crashes a second.

--- a/pkg/strike/sim_test.go
+++ b/pkg/strike/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,11 +10,21 @@
 	"time"
 )
 
-// Sizes and times of the simulated deployment, which are those of the smaller deployment in docs/CAPACITY.md.
+var largeSeedsFlag = flag.Int("strike.largeseeds", 1, "seeds of each simulation of the large deployment, which is slow")
+
+// simSize is the size of a simulated deployment. Records take 20 ms to gossip to reach another node.
+type simSize struct {
+	nodes, servers, domains int
+	gossip                  time.Duration
+}
+
+// The sizes of the users' deployments. In the large one nodes send heartbeats less often.
+var (
+	smallSize = simSize{8, 22, 4, 120 * time.Millisecond}
+	largeSize = simSize{74, 65, 5, 1200 * time.Millisecond}
+)
+
 const (
-	simNodes      = 8
-	simServers    = 22
-	simDomains    = 4
 	simDowntime   = 3 * time.Second
 	simDuration   = 60 * time.Second
 	simAttempts   = 2 // sends of one attempt of a caller; the caller repeats a failed attempt once
@@ -45,9 +56,9 @@
 	return last
 }
 
-// simulation runs nodes and servers in virtual time. Nodes notice a crash after 100 to 300 ms and receive each other's
-// records after 20 to 120 ms.
+// simulation runs nodes and servers in virtual time. Nodes notice a crash after 100 to 300 ms.
 type simulation struct {
+	size    simSize
 	rng     *rand.Rand
 	now     time.Time
 	queue   simQueue
@@ -83,15 +94,15 @@
 	waited   time.Duration // since the last send, because it was restricted
 }
 
-func newSimulation(seed uint64) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 18)), now: time.Unix(1000, 0)}
-	for range simNodes {
+func newSimulation(size simSize, seed uint64) *simulation {
+	s := &simulation{size: size, rng: rand.New(rand.NewPCG(seed, 18)), now: time.Unix(1000, 0)}
+	for range size.nodes {
 		// The options of internal/edge.
 		s.nodes = append(s.nodes, New(Options{Window: 3 * time.Second, Delay: 1200 * time.Millisecond,
 			Linger: 1500 * time.Millisecond, Expiry: time.Hour, MaxRecords: 512}))
 	}
-	for i := range simServers {
-		s.servers = append(s.servers, simServer{id: fmt.Sprintf("s%d.0", i), domain: fmt.Sprint("d", i%simDomains), up: true})
+	for i := range size.servers {
+		s.servers = append(s.servers, simServer{id: fmt.Sprintf("s%d.0", i), domain: fmt.Sprint("d", i%size.domains), up: true})
 	}
 	for node := range s.nodes {
 		s.every(250*time.Millisecond, func() { s.publish(node) })
@@ -146,7 +157,7 @@
 	for _, c := range s.nodes[node].Changes() {
 		for other := range s.nodes {
 			if other != node {
-				s.after(s.between(20*time.Millisecond, 120*time.Millisecond), func() { s.nodes[other].Merge(c.Digest, c.Record, s.now) })
+				s.after(s.between(20*time.Millisecond, s.size.gossip), func() { s.nodes[other].Merge(c.Digest, c.Record, s.now) })
 			}
 		}
 	}
@@ -234,14 +245,14 @@
 	}
 	if !req.repeated && !req.crashes {
 		s.after(50*time.Millisecond, func() {
-			s.send(&simRequest{digest: req.digest, duration: req.duration, node: s.rng.IntN(simNodes), repeated: true})
+			s.send(&simRequest{digest: req.digest, duration: req.duration, node: s.rng.IntN(s.size.nodes), repeated: true})
 		})
 	}
 }
 
 func (s *simulation) sendInnocent() {
 	s.innocent++
-	s.send(&simRequest{digest: fmt.Sprint("r", s.innocent), node: s.rng.IntN(simNodes), duration: s.between(50*time.Millisecond, 3*time.Second)})
+	s.send(&simRequest{digest: fmt.Sprint("r", s.innocent), node: s.rng.IntN(s.size.nodes), duration: s.between(50*time.Millisecond, 3*time.Second)})
 }
 
 // late returns how many runs of the crashing request started later than 3 s after it had crashed the third server. The
@@ -256,34 +267,43 @@
 	return n
 }
 
-const (
-	simSeeds        = 40
-	lateRunsAllowed = 3
-)
+const lateRunsAllowed = 3
+
+// seeds is the number of seeds to simulate.
+func (s simSize) seeds() int {
+	if s == largeSize {
+		return *largeSeedsFlag
+	}
+	return 40
+}
 
 // Guards against a request that goes on crashing servers because its strikes are withdrawn when servers crash for other
 // reasons at the same time, or when its own runs overlap.
 func TestRequestThatCrashesServersIsRefusedAmongOtherCrashes(t *testing.T) {
 	for _, test := range []struct {
 		name     string
+		size     simSize
 		interval time.Duration // between two arrivals of the request
 		crashes  float64       // unrelated ones per second
 	}{
-		{"alone", 2 * time.Second, 0},
-		{"alone, often", 500 * time.Millisecond, 0},
-		{"unrelated crashes", 2 * time.Second, 0.2},
-		{"many unrelated crashes", 2 * time.Second, 1},
-		{"unrelated crashes, often", 500 * time.Millisecond, 0.2},
-		{"very often", 50 * time.Millisecond, 0.2},
+		{"alone", smallSize, 2 * time.Second, 0},
+		{"alone, often", smallSize, 500 * time.Millisecond, 0},
+		{"unrelated crashes", smallSize, 2 * time.Second, 0.2},
+		{"many unrelated crashes", smallSize, 2 * time.Second, 1},
+		{"unrelated crashes, often", smallSize, 500 * time.Millisecond, 0.2},
+		{"very often", smallSize, 50 * time.Millisecond, 0.2},
+		{"large, unrelated crashes", largeSize, 2 * time.Second, 0.6},
+		{"large, unrelated crashes, often", largeSize, 500 * time.Millisecond, 0.6},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			sum, most, worst := 0, 0, 0
-			for seed := range uint64(simSeeds) {
-				s := newSimulation(seed)
+			for seed := range uint64(test.size.seeds()) {
+				s := newSimulation(test.size, seed)
 				s.poisson(2, s.sendInnocent)
-				s.poisson(test.crashes, func() { s.crash(s.rng.IntN(simServers)) })
+				s.poisson(test.crashes, func() { s.crash(s.rng.IntN(s.size.servers)) })
 				s.repeat(test.interval, func() {
-					s.send(&simRequest{digest: "crashing", crashes: true, node: s.rng.IntN(simNodes)})
+					s.send(&simRequest{digest: "crashing", crashes: true, node: s.rng.IntN(s.size.nodes)})
 				})
 				s.play()
 				sum += len(s.crashingRuns)
@@ -292,35 +312,41 @@
 					t.Errorf("seed %d: %d runs later than 3 s after the third crash, %d in all", seed, s.late(), len(s.crashingRuns))
 				}
 			}
-			t.Logf("runs: %.1f in the mean, %d at most; late: %d at most", float64(sum)/simSeeds, most, worst)
+			t.Logf("runs: %.1f in the mean, %d at most; late: %d at most", float64(sum)/float64(test.size.seeds()), most, worst)
 		})
 	}
 }
 
 // Guards against requests that are refused because the servers they ran on crashed in a wave.
 func TestRequestsInCrashWavesAreNotRefused(t *testing.T) {
+	domain := func(s *simulation) {
+		domain := fmt.Sprint("d", s.rng.IntN(s.size.domains))
+		for i := range s.servers {
+			if s.servers[i].domain == domain {
+				s.after(s.between(0, 500*time.Millisecond), func() { s.crash(i) })
+			}
+		}
+	}
+	fifth := func(s *simulation) {
+		for _, i := range s.rng.Perm(s.size.servers)[:s.size.servers/5] {
+			s.after(s.between(0, time.Second), func() { s.crash(i) })
+		}
+	}
 	for _, test := range []struct {
 		name string
+		size simSize
 		wave func(s *simulation)
 	}{
-		{"domain", func(s *simulation) {
-			domain := fmt.Sprint("d", s.rng.IntN(simDomains))
-			for i := range s.servers {
-				if s.servers[i].domain == domain {
-					s.after(s.between(0, 500*time.Millisecond), func() { s.crash(i) })
-				}
-			}
-		}},
-		{"a fifth of the servers", func(s *simulation) {
-			for _, i := range s.rng.Perm(simServers)[:simServers/5] {
-				s.after(s.between(0, time.Second), func() { s.crash(i) })
-			}
-		}},
+		{"domain", smallSize, domain},
+		{"a fifth of the servers", smallSize, fifth},
+		{"domain, large", largeSize, domain},
+		{"a fifth of the servers, large", largeSize, fifth},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			innocent, refused := 0, 0
-			for seed := range uint64(simSeeds) {
-				s := newSimulation(seed)
+			for seed := range uint64(test.size.seeds()) {
+				s := newSimulation(test.size, seed)
 				s.poisson(60, s.sendInnocent)
 				s.repeat(4*time.Second, func() { test.wave(s) })
 				s.play()
