edge: a held request checks its state again before the latest time of the decision

Callers waited longer than needed. Cause: a held request slept until the latest time at which the decision must be known, 2.4 s after the crash, while this node's own decision is made after 1.2 to 1.45 s. Change: it checks again every 50 ms.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -28,8 +28,8 @@
 	// maxRestrictedWait is how long a request waits while a decision on its strikes is pending or an isolated run of it is
 	// in flight. It exceeds the time until a decision of another node is known.
 	maxRestrictedWait = 3 * time.Second
-	// isolationPollInterval is how often a waiting request checks whether the isolated run has ended.
-	isolationPollInterval = 50 * time.Millisecond
+	// restrictedPollInterval is how often a waiting request checks its state again.
+	restrictedPollInterval = 50 * time.Millisecond
 )
 
 // status is the outcome of sending a request to one server.
@@ -127,7 +127,7 @@
 		switch {
 		case state == strike.Held:
 		case state == strike.Isolate && n.crashes.tracker.InFlight(req.digest):
-			wait = isolationPollInterval
+			wait = restrictedPollInterval
 		default:
 			ticket, refusal := n.pickServer(req)
 			if refusal != nil {
@@ -137,16 +137,16 @@
 				return ticket, run, nil
 			}
 			ticket.End(placement.Abandoned, now)
-			wait = isolationPollInterval
+			wait = restrictedPollInterval
 		}
 		req.logDigest = true
 		if now.Add(wait).After(waitUntil) {
 			return nil, nil, code.New(code.RequestQuarantined, "this request may have crashed backend servers").WithRetryAfter(wait)
 		}
-		if !clock.Sleep(ctx, wait) {
+		if !clock.Sleep(ctx, min(wait, restrictedPollInterval)) {
 			return nil, nil, n.cancellation(ctx, req)
 		}
-		req.restrictedFor += wait
+		req.restrictedFor += time.Since(now)
 	}
 }
 
