--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -117,7 +117,7 @@
 // one.
 type Record struct {
 	Servers []string
-	// Correlated lists those of Servers, without the withdrawn ones, whose crash was correlated with others.
+	// Correlated lists those of Servers, without the withdrawn ones, that count as correlated.
 	Correlated []string
 	// Quarantined is set by a node that has decided to quarantine the request. Pending strikes then count in full.
 	Quarantined bool
@@ -145,7 +145,8 @@
 // Verdict is what a node decided on a strike or on a broken connection.
 type Verdict string
 
-// The verdicts. Weakened means that a strike counts as correlated. Dropped means that no crash was noticed within Options.Linger after the connection of a run broke.
+// The verdicts. Weakened means that a strike counts as correlated. Dropped means that no crash was noticed within
+// Options.Linger after the connection of a run broke.
 const (
 	Withdrawn  Verdict = "withdrawn"
 	Weakened   Verdict = "weakened"
@@ -175,7 +176,7 @@
 	Related []string
 }
 
-// maxDecisions bounds the decisions kept for Decisions.
+// maxDecisions bounds the decisions kept for Decisions; later ones are not logged.
 const maxDecisions = 256
 
 // Tracker holds the strikes that one node knows. Its methods may be called concurrently and get the current time from
@@ -233,7 +234,7 @@
 type crash struct {
 	incident, domain string
 	at               time.Time
-	digests          []string // of the requests that got a provisional strike
+	digests          []string // of the requests that got a strike
 	decided          bool
 }
 
@@ -416,11 +417,10 @@
 	t.changed[digest] = true
 }
 
-// RecordCrash gives a provisional strike to each request in flight on a crashed server. Tick decides on it later. The
-// same crash may be reported again: if HadNotice or Unreachable is set by then, for example because a reclaim notice
-// became known, its strikes are withdrawn, if the crash is still among the last maxCrashes and younger than
-// crashRetention. recorded is false for a known crash; runs is the number of runs in flight
-// on the server.
+// RecordCrash gives a strike to each request in flight on a crashed server, and returns the number of runs there. Tick
+// decides on the strikes later. The same crash may be reported again, which returns recorded false: if HadNotice or
+// Unreachable is set by then, for example because a reclaim notice became known, its strikes are withdrawn, as long as
+// the crash is among the last maxCrashes and younger than crashRetention.
 func (t *Tracker) RecordCrash(c Crash, now time.Time) (runs int, recorded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
