--- a/internal/adapter/httpclient/endless_test.go
+++ b/internal/adapter/httpclient/endless_test.go
@@ -25,7 +25,11 @@
 			return
 		}
 		defer conn.Close()
-		go func() { _, _ = io.Copy(io.Discard, conn) }() // the request
+		if _, err := conn.Read(make([]byte, 1)); err != nil { // wait for the request
+			read <- 0
+			return
+		}
+		go func() { _, _ = io.Copy(io.Discard, conn) }() // the rest of it
 		n, err := io.WriteString(conn, start)
 		for total := n; ; total += n {
 			if err != nil {
