--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -28,7 +28,10 @@
 			}
 			go func() {
 				defer conn.Close()
-				go func() { _, _ = io.Copy(io.Discard, conn) }() // the request
+				if _, err := conn.Read(make([]byte, 1)); err != nil { // wait for the request
+					return
+				}
+				go func() { _, _ = io.Copy(io.Discard, conn) }() // the rest of it
 				_, err := io.WriteString(conn, start)
 				for err == nil {
 					_, err = io.WriteString(conn, block)
