platform, lease: a store that returns from a copy starts a new era

Cause: a store that comes back from a copy gives out versions again that it had acknowledged.

Change: a version is a pair of era and number, ordered as one integer; the adapter takes the era from the header of all answers. Answers of an era that has passed are refused, feeds of changes end with ErrHistoryGone, and a condition on a version of another era cannot hold. The lease has a row for each era, a successor waits out a holder of the era before, tokens start with the era. The stand-ins of both doors return from copies.

--- a/internal/adapter/platformhttp/calls.go
+++ b/internal/adapter/platformhttp/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	api "github.com/pollenlug/pollenlug/internal/platformapi"
@@ -76,6 +77,7 @@
 // Commit implements platform.Table. It is never retried: a retry under the condition of the first attempt would report
 // a conflict although the first attempt succeeded.
 func (t Table) Commit(ctx context.Context, mutations []platform.Mutation) ([]uint64, error) {
+	era, _ := t.Era()
 	var response api.CommitResponse
 	request := api.CommitRequest{Mutations: api.ToMutations(mutations)}
 	if err := t.c.do(ctx, call{api.PathTableCommit, nonIdempotent, t.c.timeouts.Table}, request, &response); err != nil {
@@ -84,9 +86,15 @@
 	if len(response.Versions) != len(mutations) {
 		return nil, platform.ErrOutcomeUnknown
 	}
+	if now, _ := t.Era(); now != era && platform.HasVersionCondition(mutations) {
+		return nil, fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, platform.ErrEraPassed)
+	}
 	return response.Versions, nil
 }
 
+// Era implements platform.Table. The service numbers versions over its eras, so each answer with versions shows one.
+func (t Table) Era() (uint64, <-chan struct{}) { return t.c.eras.Newest() }
+
 // Put implements platform.Objects. Objects are immutable, so a retry has no further effect.
 func (o Objects) Put(ctx context.Context, name string, data []byte) error {
 	request := api.Object{Name: name, Data: data}
--- a/internal/adapter/platformhttp/platformhttp.go
+++ b/internal/adapter/platformhttp/platformhttp.go
@@ -25,6 +25,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -94,6 +95,7 @@
 	jitter      func() float64
 	retryBudget budget
 	retries     atomic.Uint64
+	eras        platform.Eras
 }
 
 // New returns a client. It opens no connection.
@@ -250,6 +252,9 @@
 	if err != nil || len(data) > api.MaxBodyBytes {
 		return call.transportError(ctx, true, errors.Join(err, errors.New("the answer is incomplete")))
 	}
+	if !c.observeEra(resp.Header) {
+		return call.transportError(ctx, true, platform.ErrEraPassed)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return call.serviceError(resp.StatusCode, data)
 	}
@@ -259,6 +264,16 @@
 	return nil
 }
 
+// observeEra records the era that an answer shows, if it shows any, and reports whether it is the newest one.
+func (c *Client) observeEra(header http.Header) bool {
+	text := header.Get(api.HeaderEra)
+	if text == "" {
+		return true
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	return err == nil && c.eras.Observe(era)
+}
+
 // transportError returns the error of a call without a response from the service. A context that ends during a call
 // that changes state always gives ErrOutcomeUnknown, as platform.Table documents.
 func (c call) transportError(ctx context.Context, sent bool, err error) error {
--- a/internal/edge/crashrecords_test.go
+++ b/internal/edge/crashrecords_test.go
@@ -147,6 +147,8 @@
 	rows map[string][]byte
 }
 
+func (r *rowTable) Era() (uint64, <-chan struct{}) { return 0, nil }
+
 func (r *rowTable) Commit(_ context.Context, mutations []platform.Mutation) ([]uint64, error) {
 	for _, m := range mutations {
 		if m.Delete {
--- a/internal/edge/interfaces.go
+++ b/internal/edge/interfaces.go
@@ -31,6 +31,8 @@
 type Store interface {
 	platform.Table
 	platform.Feed
+	// ObserveEra records an era of the store that another node has reported.
+	ObserveEra(era uint64)
 }
 
 // Duties are the calls that only one node at a time may make.
--- a/internal/fleetholder/harness_test.go
+++ b/internal/fleetholder/harness_test.go
@@ -313,6 +313,8 @@
 	return n.client.List(ctx, table, prefix, after, limit)
 }
 
+func (n *testNode) Era() (uint64, <-chan struct{}) { return n.client.Era() }
+
 func (n *testNode) Commit(ctx context.Context, m []platform.Mutation) ([]uint64, error) {
 	n.waitWhilePaused()
 	defer n.waitWhilePaused()
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -203,6 +203,9 @@
 	return gatedCall(g.process, func() ([]platform.Row, error) { return g.standin.Table.List(ctx, table, prefix, after, limit) })
 }
 
+// Era implements platform.Table.
+func (g gatedTable) Era() (uint64, <-chan struct{}) { return g.standin.Table.Era() }
+
 // Commit implements platform.Table.
 func (g gatedTable) Commit(ctx context.Context, m []platform.Mutation) ([]uint64, error) {
 	return gatedCall(g.process, func() ([]uint64, error) { return g.standin.Table.Commit(ctx, m) })
--- a/internal/platformapi/platformapi.go
+++ b/internal/platformapi/platformapi.go
@@ -28,6 +28,10 @@
 	PathReserve     = "/v1/weights/reserve"
 )
 
+// HeaderEra names the era of the table service in the answers to its calls; without it, the service has only one.
+// Versions contain their era, see platform.MakeVersion.
+const HeaderEra = "Platform-Era"
+
 // MaxBodyBytes is the maximum size of a request or response body.
 const MaxBodyBytes = 16 << 20
 
--- a/internal/standin/platform/http.go
+++ b/internal/standin/platform/http.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	api "github.com/pollenlug/pollenlug/internal/platformapi"
@@ -19,24 +20,24 @@
 
 func (p *Platform) routes() *http.ServeMux {
 	mux := http.NewServeMux()
-	route(mux, api.PathTableGet, p.get)
-	route(mux, api.PathTableList, p.list)
-	route(mux, api.PathTableCommit, p.commit)
-	route(mux, api.PathObjectPut, p.putObject)
-	route(mux, api.PathObjectGet, p.getObject)
-	route(mux, api.PathFolder, p.readFolder)
-	route(mux, api.PathStart, p.Cloud.Start)
-	route(mux, api.PathStop, p.stop)
-	route(mux, api.PathPrices, p.listPrices)
-	route(mux, api.PathNotices, p.listNotices)
-	route(mux, api.PathInstances, p.listInstances)
-	route(mux, api.PathReserve, p.reserve)
+	route(p, mux, api.PathTableGet, p.get)
+	route(p, mux, api.PathTableList, p.list)
+	route(p, mux, api.PathTableCommit, p.commit)
+	route(p, mux, api.PathObjectPut, p.putObject)
+	route(p, mux, api.PathObjectGet, p.getObject)
+	route(p, mux, api.PathFolder, p.readFolder)
+	route(p, mux, api.PathStart, p.Cloud.Start)
+	route(p, mux, api.PathStop, p.stop)
+	route(p, mux, api.PathPrices, p.listPrices)
+	route(p, mux, api.PathNotices, p.listNotices)
+	route(p, mux, api.PathInstances, p.listInstances)
+	route(p, mux, api.PathReserve, p.reserve)
 	return mux
 }
 
 // route registers one call. The request's context ends when the client disconnects, which every part of the
 // platform treats like a caller that stops waiting.
-func route[Request, Response any](mux *http.ServeMux, path string, call func(context.Context, Request) (Response, error)) {
+func route[Request, Response any](p *Platform, mux *http.ServeMux, path string, call func(context.Context, Request) (Response, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var request Request
 		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, api.MaxBodyBytes))
@@ -45,6 +46,9 @@
 			return
 		}
 		response, err := call(r.Context(), request)
+		if era, _ := p.Table.Era(); era > 0 {
+			w.Header().Set(api.HeaderEra, strconv.FormatUint(era, 10))
+		}
 		if err != nil {
 			failure := failureOf(err)
 			writeJSON(w, failure.Kind.Status(), failure)
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -74,6 +74,7 @@
 	at     time.Time
 	row    platform.Row
 	exists bool
+	number uint64 // also of a deletion
 }
 
 // Table implements platform.Table. Use Client for callers with their own faults.
@@ -84,9 +85,10 @@
 	commits atomic.Uint64
 	writes  atomic.Uint64
 
-	mu          sync.Mutex
-	lastVersion uint64
-	histories   map[rowID][]version // in order of time; the last one is current
+	mu         sync.Mutex
+	era        uint64
+	lastNumber uint64
+	histories  map[rowID][]version // in order of time; the last one is current
 }
 
 // Client is the view of the table that one caller has, with faults of its own.
@@ -94,6 +96,9 @@
 	t    *Table
 	name string
 
+	// eras holds the eras that this client has seen.
+	eras platform.Eras
+
 	mu     sync.Mutex
 	faults Faults
 	calls  map[string]uint64
@@ -121,6 +126,39 @@
 	return Counts{Reads: t.reads.Load(), Commits: t.commits.Load(), RowWrites: t.writes.Load()}
 }
 
+// ReturnFromCopy replaces all rows by those of a copy that is age old, at most a minute, and starts a new era. Numbers of
+// versions continue from those of the copy. Writes that are under way take effect on the rows of the copy.
+func (t *Table) ReturnFromCopy(age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	cut := now.Add(-min(age, historyRetention))
+	t.era++
+	t.lastNumber = 0
+	for id, history := range t.histories {
+		n := len(history)
+		for n > 0 && history[n-1].at.After(cut) {
+			n--
+		}
+		copied := current(history[:n])
+		copied.at = now
+		if copied.exists {
+			copied.row.Version = platform.MakeVersion(t.era, copied.number)
+		}
+		t.lastNumber = max(t.lastNumber, copied.number)
+		t.histories[id] = append(history[:n:n], copied)
+	}
+}
+
+func (t *Table) currentEra() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
+}
+
+// Era implements platform.Table.
+func (c *Client) Era() (uint64, <-chan struct{}) { return c.eras.Newest() }
+
 // SetFaults replaces the faults of this client. Calls that have already started keep the earlier ones.
 func (c *Client) SetFaults(f Faults) {
 	c.mu.Lock()
@@ -171,6 +209,7 @@
 		return time.Time{}, fmt.Errorf("table: read: %w", ctx.Err())
 	}
 	at := time.Now()
+	c.eras.Observe(c.t.currentEra())
 	if rng.percent(f.StalePercent) {
 		at = at.Add(-rng.between(0, min(f.MaxStale, historyRetention)))
 	}
@@ -235,6 +274,10 @@
 }
 
 func (c *Client) commit(ctx context.Context, f Faults, rng *randomSequence, mutations []platform.Mutation) ([]uint64, error) {
+	era, _ := c.eras.Newest()
+	for i, m := range mutations {
+		mutations[i].If.Version = platform.ConditionNumber(m.If, era)
+	}
 	halfLatency := rng.between(f.MinLatency, f.MaxLatency) / 2
 	started := time.Now()
 	takesEffect := rng.percent(50)
@@ -259,6 +302,10 @@
 	if !clock.Sleep(ctx, halfLatency) {
 		return nil, platform.ErrOutcomeUnknown
 	}
+	c.eras.Observe(c.t.currentEra())
+	if now, _ := c.eras.Newest(); now != era && err == nil && platform.HasVersionCondition(mutations) {
+		return nil, platform.ErrOutcomeUnknown
+	}
 	return versions, err
 }
 
@@ -290,10 +337,10 @@
 		return current(history).row.Version
 	}
 	t.writes.Add(1)
-	t.lastVersion++
-	v := version{at: now, exists: !m.Delete}
+	t.lastNumber++
+	v := version{at: now, exists: !m.Delete, number: t.lastNumber}
 	if v.exists {
-		v.row = platform.Row{Key: m.Key, Value: m.Value, Version: t.lastVersion}
+		v.row = platform.Row{Key: m.Key, Value: m.Value, Version: platform.MakeVersion(t.era, v.number)}
 	}
 	t.histories[id] = append(prune(history, now), v)
 	return v.row.Version
@@ -316,7 +363,8 @@
 	case platform.Absent:
 		return !v.exists
 	case platform.VersionIs:
-		return v.exists && v.row.Version == cond.Version
+		// The service knows numbers only: after a return, a number may belong to other content than before.
+		return v.exists && v.number == cond.Version
 	}
 	return false
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease grants leases with fencing tokens, stored in the table service.
 //
-// A lease is one row, which is acquired and renewed by conditional writes and never deleted, so that its fencing
+// A lease is one row per era of the store, which is acquired and renewed by conditional writes and never deleted, so that its fencing
 // token increases with each holder. The holder's deadline is the time right before it sent its last confirmed write,
 // plus the duration. A successor waits for the duration stored in the row, counted from its first read of the current
 // version, plus the longest time of an order (an operation that the lease protects). Then it writes under the condition
@@ -8,6 +8,13 @@
 // by then. Both nodes measure time with their own monotonic clocks and never compare wall clocks; clockDrift allows for
 // clocks that run at different rates.
 //
+// A store that returns from a copy starts a new era (see package platform) and may have lost the newest writes of the
+// row. Each era therefore has a row of its own, which only nodes that know the era write: a write of an earlier era
+// cannot replace it, whatever its condition. A holder of an earlier era holds nothing as soon as any answer shows the new
+// one. Who finds no row in an era waits as long as for a holder that renewed its lease right before the store returned.
+// A fencing token is the pair of the era and a counter in the row. It rises over eras because the store's era does, even
+// if all nodes have been started again and know nothing of earlier tokens.
+//
 // The holder calls Held.Check right before each order and bounds each order by Options.MaxOrderTime. The holder also
 // measures time by its wall clock, since the monotonic clock may stop while a virtual machine is suspended.
 //
@@ -19,6 +26,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -62,10 +70,20 @@
 	MaxOrderTime time.Duration
 	// StoreTimeout bounds one call to the table service.
 	StoreTimeout time.Duration
+	// NoEarlierHolder is set if no node can have held a lease before the first era that this node sees, as when the whole
+	// deployment starts for the first time. A lease without a row is then acquired in that era without a wait.
+	NoEarlierHolder bool
 }
 
 // Leases acquires leases for one node. Its methods may be called concurrently.
-type Leases struct{ o Options }
+type Leases struct {
+	o Options
+
+	mu sync.Mutex
+	// firstEra is the era of the first answer, to which Options.NoEarlierHolder applies, once answered is set.
+	firstEra uint64
+	answered bool
+}
 
 // New returns Leases with the given options; zero values of optional fields give the defaults.
 func New(o Options) *Leases {
@@ -87,6 +105,16 @@
 	return &Leases{o: o}
 }
 
+// mayHaveHolder reports whether another node may hold a lease that has no row in the given era.
+func (l *Leases) mayHaveHolder(era uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.answered {
+		l.firstEra, l.answered = era, true
+	}
+	return era != l.firstEra || (era > 0 && !l.o.NoEarlierHolder)
+}
+
 func randomID() string {
 	var b [16]byte
 	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
@@ -110,7 +138,10 @@
 	name string
 	// holder identifies this acquisition, so that the row of an earlier acquisition is not mistaken for its own.
 	holder string
-	// row is the newest row that was read, version its version (0 if there is none) and seenAt when it was first read.
+	// era is the era of the store to which the fields below belong.
+	era uint64
+	// row is the newest row that was read, version its version (0 if there is none) and seenAt when it was first read, or
+	// first found to be missing.
 	version uint64
 	row     *pb.LeaseRow
 	seenAt  time.Time
@@ -139,18 +170,25 @@
 func (a *acquisition) tryAcquire(ctx context.Context) (*Held, time.Duration) {
 	o := &a.l.o
 	retry := o.Duration / retriesPerDuration
-	version, row, err := a.l.read(ctx, a.name)
+	era := a.l.era()
+	version, row, err := a.l.read(ctx, rowKey(a.name, era))
 	now := o.Now()
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return nil, retry
 	}
+	if a.l.era() != era {
+		return nil, 0 // the row of the new era is another one
+	}
+	if a.era != era || a.seenAt.IsZero() {
+		a.era, a.version, a.row, a.seenAt, a.fencing = era, 0, &pb.LeaseRow{}, now, 0
+	}
 	if err == nil && version > a.version {
 		a.version, a.row, a.seenAt = version, row, now
 	}
 	if held := a.confirmEarlierWrite(now); held != nil {
 		return held, 0
 	}
-	if left := a.freeAt().Sub(now); a.version != 0 && left > 0 {
+	if left := a.freeAt().Sub(now); left > 0 {
 		return nil, min(left, o.Duration/renewalsPerDuration)
 	}
 	return a.writeRow(ctx), retry
@@ -165,9 +203,16 @@
 	return a.newHeld(a.version, valid)
 }
 
-// freeAt returns the time from which no order of the row's holder can still be running.
+// freeAt returns the time from which no order of the row's holder, or of one of an earlier era, can still be running.
 func (a *acquisition) freeAt() time.Time {
-	wait := time.Duration(a.row.DurationMs)*time.Millisecond + a.l.o.MaxOrderTime
+	duration := time.Duration(a.row.DurationMs) * time.Millisecond
+	if a.version == 0 {
+		if !a.l.mayHaveHolder(a.era) {
+			return a.seenAt
+		}
+		duration = a.l.o.Duration
+	}
+	wait := duration + a.l.o.MaxOrderTime
 	return a.seenAt.Add(wait + time.Duration(clockDrift*float64(wait)))
 }
 
@@ -178,33 +223,47 @@
 	if a.version == 0 {
 		cond = platform.Condition{Kind: platform.Absent}
 	}
-	row := a.l.row(a.holder, a.row.Fencing+1, 1)
+	row := a.l.row(a.holder, max(a.row.Fencing, platform.MakeVersion(a.era, 0))+1, 1)
 	start := a.l.o.Now()
 	if row.Fencing != a.fencing {
 		a.firstSentAt, a.fencing = start, row.Fencing
 	}
-	version, err := a.l.write(ctx, a.name, row, cond)
+	version, err := a.l.write(ctx, rowKey(a.name, a.era), row, cond)
 	valid := validity{start, a.l.o.Duration}
-	if err != nil || !valid.contains(a.l.o.Now()) {
-		// A lease that expired during a pause is treated like that of another holder.
+	if err != nil || !valid.contains(a.l.o.Now()) || platform.EraOf(version) != a.era {
+		// A lease that expired during a pause, or in an era that has passed, is treated like that of another holder.
 		return nil
 	}
 	return a.newHeld(version, valid)
 }
 
 func (a *acquisition) newHeld(version uint64, valid validity) *Held {
-	return &Held{l: a.l, name: a.name, holder: a.holder, fencing: a.fencing, version: version, valid: valid,
+	return &Held{l: a.l, key: rowKey(a.name, a.era), era: a.era, holder: a.holder, fencing: a.fencing, version: version, valid: valid,
 		renewal: 1, stop: make(chan struct{}), done: make(chan struct{})}
 }
 
+// rowKey returns the key of a lease's row in an era.
+func rowKey(name string, era uint64) string {
+	if era == 0 {
+		return name
+	}
+	return name + "@" + strconv.FormatUint(era, 10)
+}
+
+// era returns the newest known era of the table service.
+func (l *Leases) era() uint64 {
+	era, _ := l.o.Table.Era()
+	return era
+}
+
 func (l *Leases) row(holder string, fencing, renewal uint64) *pb.LeaseRow {
 	return &pb.LeaseRow{Holder: holder, Fencing: fencing, Renewal: renewal, DurationMs: uint64(l.o.Duration.Milliseconds())}
 }
 
-func (l *Leases) read(ctx context.Context, name string) (uint64, *pb.LeaseRow, error) {
+func (l *Leases) read(ctx context.Context, key string) (uint64, *pb.LeaseRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.o.StoreTimeout)
 	defer cancel()
-	r, err := l.o.Table.Get(ctx, TableName, name)
+	r, err := l.o.Table.Get(ctx, TableName, key)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -212,14 +271,14 @@
 	return r.Version, row, proto.Unmarshal(r.Value, row)
 }
 
-func (l *Leases) write(ctx context.Context, name string, row *pb.LeaseRow, cond platform.Condition) (uint64, error) {
+func (l *Leases) write(ctx context.Context, key string, row *pb.LeaseRow, cond platform.Condition) (uint64, error) {
 	value, err := proto.Marshal(row)
 	if err != nil {
 		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.o.StoreTimeout)
 	defer cancel()
-	versions, err := l.o.Table.Commit(ctx, []platform.Mutation{{Table: TableName, Key: name, Value: value, If: cond}})
+	versions, err := l.o.Table.Commit(ctx, []platform.Mutation{{Table: TableName, Key: key, Value: value, If: cond}})
 	if err != nil {
 		return 0, err
 	}
@@ -228,9 +287,10 @@
 
 // Held is an acquired lease. Its methods may be called concurrently.
 type Held struct {
-	l            *Leases
-	name, holder string
-	fencing      uint64
+	l           *Leases
+	key, holder string
+	era         uint64
+	fencing     uint64
 
 	stopOnce sync.Once
 	stop     chan struct{}
@@ -252,7 +312,7 @@
 	now := h.l.o.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.fencing, !h.released && h.valid.contains(now)
+	return h.fencing, !h.released && h.valid.contains(now) && h.l.era() == h.era
 }
 
 // Done returns a channel that is closed when the lease is lost or released. Check may already fail before that.
@@ -270,9 +330,12 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	if h.l.era() != h.era {
+		return nil // the row of this era is no longer used
+	}
 	row := h.l.row("", h.fencing, h.renewal+1)
 	row.DurationMs = 0
-	_, err := h.l.write(ctx, h.name, row, platform.Condition{Kind: platform.VersionIs, Version: h.version})
+	_, err := h.l.write(ctx, h.key, row, platform.Condition{Kind: platform.VersionIs, Version: h.version})
 	return err
 }
 
@@ -305,13 +368,16 @@
 			return false
 		}
 		cond := platform.Condition{Kind: platform.VersionIs, Version: h.version}
-		version, err := h.l.write(ctx, h.name, row, cond)
-		if err == nil {
+		version, err := h.l.write(ctx, h.key, row, cond)
+		if err == nil && platform.EraOf(version) == h.era {
 			return h.extend(version, start)
 		}
 		if !errors.Is(err, platform.ErrUnavailable) {
 			// The write may have taken effect; a read that does not show it may be stale.
-			version, found, err := h.l.read(ctx, h.name)
+			version, found, err := h.l.read(ctx, h.key)
+			if err == nil && platform.EraOf(version) != h.era {
+				return false
+			}
 			if err == nil && found.Holder == h.holder && found.Renewal == row.Renewal {
 				// Any of the retried writes may be the one that took effect, so the earliest time counts.
 				return h.extend(version, first)
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -145,7 +145,67 @@
 	assert.Assert(t, !s.contains(now.Round(0).Add(time.Minute)))
 }
 
-// scheduleStep sets the store faults of one node or pauses it, and then lets time pass.
+// Guards against a holder that acts after the store has returned from a copy, a successor that does not wait out a
+// holder of the era before, and a fencing token that is granted again because the copy does not have it.
+func TestReturnOfTheStore(t *testing.T) {
+	for _, firstStart := range []bool{false, true} {
+		t.Run(fmt.Sprintf("first start of the deployment: %v", firstStart), func(t *testing.T) { testReturnOfTheStore(t, firstStart) })
+	}
+}
+
+func testReturnOfTheStore(t *testing.T, firstStart bool) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := table.New(table.Options{})
+		a, store := node(tab, "a")
+		b, _ := node(tab, "b")
+		a.o.NoEarlierHolder, b.o.NoEarlierHolder = firstStart, firstStart
+		// b has seen the store before, as a node that runs has.
+		_, _, _ = b.read(t.Context(), "other")
+		b.mayHaveHolder(b.era())
+		held := acquire(t, a)
+		last, _ := held.Check()
+		for range 2 {
+			time.Sleep(30 * time.Second)
+			// The holder learns of the return later than its successor.
+			store.SetFaults(table.Faults{Outage: table.Hanging})
+			tab.ReturnFromCopy(time.Minute) // before the lease was acquired
+			returned := time.Now()
+			next := acquire(t, b)
+			assert.Assert(t, !isValid(held), "two holders %v after the return", time.Since(returned))
+			assert.Assert(t, time.Since(returned) >= DefaultDuration+DefaultMaxOrderTime, "waited %v", time.Since(returned))
+			token, ok := next.Check()
+			assert.Assert(t, ok && token > last, "token %d after %d", token, last)
+			last = token
+			store.SetFaults(table.Faults{})
+			tab.ReturnFromCopy(time.Minute)
+			_ = next.Release(context.Background()) // fails, since b does not know of the return yet
+			held = acquire(t, a)
+			token, ok = held.Check()
+			assert.Assert(t, ok && token > last, "token %d after %d", token, last)
+			last = token
+		}
+	})
+}
+
+// Guards against a write of a holder of the era before that replaces the row of its successor, because the number of the
+// row version on which it depends has been given out again.
+func TestLateWriteOfAnEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := table.New(table.Options{})
+		a, store := node(tab, "a")
+		b, _ := node(tab, "b")
+		held := acquire(t, a)
+		store.pause(time.Minute) // with a renewal under way
+		tab.ReturnFromCopy(0)
+		next := acquire(t, b)
+		time.Sleep(2 * time.Minute)
+		assert.Assert(t, !isValid(held))
+		assert.Assert(t, isValid(next), "the successor has lost the lease")
+	})
+}
+
+// scheduleStep sets the store faults of one node, pauses it or makes the store return from a copy, and then lets time
+// pass.
 type scheduleStep struct {
 	node, fault int
 	duration    time.Duration
@@ -162,6 +222,12 @@
 	{Outage: table.Hanging},
 }
 
+// Further faults of schedules: a pause of the node, and a return of the store from a copy.
+var (
+	pauseFault  = len(storeFaults)
+	returnFault = len(storeFaults) + 1
+)
+
 // monitor records all leases that were granted and checks them against each other.
 type monitor struct {
 	mu      sync.Mutex
@@ -245,10 +311,13 @@
 		})
 	}
 	for _, s := range steps {
-		if s.fault < len(storeFaults) {
-			stores[s.node].SetFaults(storeFaults[s.fault])
-		} else {
+		switch s.fault {
+		case pauseFault:
 			stores[s.node].pause(40 * time.Second)
+		case returnFault:
+			tab.ReturnFromCopy(s.duration)
+		default:
+			stores[s.node].SetFaults(storeFaults[s.fault])
 		}
 		for end := time.Now().Add(s.duration); err == nil && time.Now().Before(end); err = m.check() {
 			time.Sleep(250 * time.Millisecond)
@@ -273,7 +342,12 @@
 
 // Guards against any order of store faults and pauses that gives the lease to two holders at once, or a fencing token
 // that does not increase.
-func TestRandomSchedules(t *testing.T) {
+func TestRandomSchedules(t *testing.T) { testRandomSchedules(t, pauseFault) }
+
+// Guards against the same when the store returns from copies as well.
+func TestRandomSchedulesWithReturns(t *testing.T) { testRandomSchedules(t, returnFault) }
+
+func testRandomSchedules(t *testing.T, lastFault int) {
 	grants := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
@@ -281,7 +355,7 @@
 		for range 20 {
 			steps = append(steps, scheduleStep{
 				node:     rapid.IntRange(0, 2).Draw(rt, "node"),
-				fault:    rapid.IntRange(0, len(storeFaults)).Draw(rt, "fault"),
+				fault:    rapid.IntRange(0, lastFault).Draw(rt, "fault"),
 				duration: time.Duration(rapid.IntRange(1, 40).Draw(rt, "passes")) * time.Second,
 			})
 		}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -40,7 +40,8 @@
 type Row struct {
 	Key   string
 	Value []byte
-	// Version increases with each write of the row. It is never 0 and is not reused, even after the row is deleted.
+	// Version increases with each write of the row, also over the eras of the store; see MakeVersion. It is never 0 and
+	// is not reused, even after the row is deleted.
 	Version uint64
 }
 
@@ -77,8 +78,14 @@
 	// List returns up to limit rows whose keys have the prefix and are greater than after, in the order of their keys.
 	List(ctx context.Context, table, prefix, after string, limit int) ([]Row, error)
 	// Commit applies all mutations or none and returns the new row versions. Its errors are *ConflictError,
-	// ErrUnavailable and ErrOutcomeUnknown; it returns ErrOutcomeUnknown if the context ends during the call.
+	// ErrUnavailable and ErrOutcomeUnknown; it returns ErrOutcomeUnknown if the context ends during the call. A condition
+	// on a version of an era that is known to have passed is a conflict. A write that took effect in another era than the
+	// one known before the call returns ErrOutcomeUnknown if it has a condition on a version: the row may have had other
+	// content than the caller knows.
 	Commit(ctx context.Context, mutations []Mutation) ([]uint64, error)
+	// Era returns the newest era of the store that any answer has shown, or 0 before the first one, and a channel that is
+	// closed when a newer one becomes known.
+	Era() (era uint64, changed <-chan struct{})
 }
 
 // Objects is the object store. Objects are immutable: an existing name can be written again only with the same content.
@@ -192,7 +199,8 @@
 	Reserve(ctx context.Context, model string, sizeMiB uint32) (wait time.Duration, err error)
 }
 
-// ErrHistoryGone means that the requested changes are no longer retained; the table must be read with Snapshot again.
+// ErrHistoryGone means that the requested changes are no longer retained, or that the store has returned from a copy
+// since; the table must be read with Snapshot again.
 var ErrHistoryGone = errors.New("platform: history of the table is gone")
 
 // Change is the write or deletion of a row.
@@ -201,7 +209,7 @@
 	Deleted bool
 }
 
-// Feed reads whole tables and their changes. All versions come from a single counter of the store.
+// Feed reads whole tables and their changes. All versions of an era come from a single counter of the store.
 type Feed interface {
 	// Snapshot returns all rows of a table, in the order of their keys, and the newest version of the store.
 	Snapshot(ctx context.Context, table string) ([]Row, uint64, error)
