edge: views, usage and rows survive a return of the store

Cause: all that the nodes derive from versions of the store stood still or went back when the versions did.

Change: the nodes tell each other the era. The view of servers continues in a new era with what it knows: rows of the copy that are older, or that describe a server removed since, change nothing; rows that are missing are treated like those after an outage. Final usage counts, node rows and quarantines are written again from memory; a window that may have been reported with counts that are lost is not reported.

--- a/internal/edge/configview.go
+++ b/internal/edge/configview.go
@@ -24,6 +24,9 @@
 	// learn of it from heartbeats, whose interval grows with the number of nodes.
 	onStoreChange func()
 	readers       *readerSelection
+	// awaitSettled delays the first read from the store shortly after its return from a copy: a configuration that the
+	// copy lacks comes from peers or is written again.
+	awaitSettled func(ctx context.Context) (held bool, err error)
 
 	current    atomic.Pointer[serving.Config]
 	mu         sync.Mutex // guards raw and updates of current
@@ -70,7 +73,7 @@
 // watch reads the configuration and, while this node is selected as a store reader, waits for changes, until ctx ends.
 func (v *configView) watch(ctx context.Context) {
 	dep := dependency{log: v.log, name: "store configuration", lost: v.readers.lost}
-	reader := &tableReader{store: v.store, table: v.names.OperatorTable,
+	reader := &tableReader{store: v.store, table: v.names.OperatorTable, awaitSettled: v.awaitSettled,
 		apply: func(_ context.Context, c platform.Change) error {
 			if !c.Deleted {
 				v.applyRow(c.Row)
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -74,7 +74,7 @@
 // runDuties acquires the duty lease and performs the duties while this node holds it, until ctx ends.
 func (n *Node) runDuties(ctx context.Context) {
 	leases := lease.New(lease.Options{Table: n.store, Node: n.settings.Node, Duration: dutyLeaseDuration,
-		MaxOrderTime: dutyCallTimeout, StoreTimeout: dutyStoreTimeout})
+		MaxOrderTime: dutyCallTimeout, StoreTimeout: dutyStoreTimeout, NoEarlierHolder: n.settings.FirstStart})
 	// An earlier incarnation of this node may have made duty calls until just before this one started.
 	lastActed := n.started
 	clock.Sleep(ctx, dutyStartDelay)
@@ -199,7 +199,7 @@
 }
 
 func (h *dutyHolder) deleteOldUsage(ctx context.Context, now time.Time) {
-	oldest := time.Unix(0, (h.n.usage.WindowNumber(now)-usageKeptWindows)*int64(h.n.settings.UsageWindow)).UTC().Format("20060102T150405.000")
+	oldest := h.n.finalUsage.key(h.n.usage.WindowNumber(now) - usageKeptWindows)
 	rows, err := h.n.store.List(ctx, usageTable, "", "", 50)
 	if err != nil {
 		h.n.log.WithError(err).Info("listing old usage rows failed")
--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -13,12 +13,13 @@
 
 // composeUrgent returns the heartbeat fields that other nodes' decisions depend on; see peers.composeUrgent.
 func (n *Node) composeUrgent(now time.Time) *pb.PeerBeat {
+	era, _ := n.store.Era()
 	return &pb.PeerBeat{
 		Node: n.settings.Node, Started: n.started.UnixMilli(), FailureDomain: n.settings.FailureDomain,
 		CallerAddr: n.settings.CallerAddr, PeerAddr: n.settings.PeerAddr, ControlAddr: n.settings.ControlAddr,
 		Ready: n.viewsLoaded(), Leaving: n.stopping.Load(), ConfigVersion: n.config.Version(), Servers: n.servers.state(now),
 		HoldsDuties: n.holdsDuties.Load(), StoreLost: n.peers.readers.lost.Load() > 0,
-		Changes: n.servers.heartbeatChanges(n.peers.heartbeatInterval(), now), NewsOnly: true,
+		Changes: n.servers.heartbeatChanges(n.peers.heartbeatInterval(), now), NewsOnly: true, StoreEra: era,
 	}
 }
 
@@ -48,6 +49,7 @@
 
 // handleHeartbeat applies a heartbeat received from another node.
 func (n *Node) handleHeartbeat(heartbeat *pb.PeerBeat, now time.Time) {
+	n.store.ObserveEra(heartbeat.StoreEra)
 	if heartbeat.NewsOnly {
 		n.fetcher.handleHeartbeat(heartbeat, now)
 		return
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -84,8 +84,11 @@
 	prober   *crashProber
 	// quarantined keeps the decisions of crashes in the store.
 	quarantined *quarantineRows
-	demand      *demandMeter
-	memory      *bodyMemory
+	storeReturn *storeReturn
+	// finalUsage holds the usage counts that this node has made final, also those of its earlier terms.
+	finalUsage *finalUsage
+	demand     *demandMeter
+	memory     *bodyMemory
 
 	retriesMu sync.Mutex
 	retries   map[string]*limit.RetryWindow
@@ -122,6 +125,10 @@
 		received: n.handleHeartbeat, discovered: n.crashes.resendRestrictions, restarted: n.peerRestarted, nodes: map[string]*peerNode{}, maxNodesSeen: 1, urgent: make(chan struct{}, 1)}
 	readers := &readerSelection{readerRank: n.peers.readerRank, nodeRank: n.peers.nodeRank, lost: &atomic.Int32{}}
 	n.peers.readers, n.config.readers, n.servers.readers = readers, readers, readers
+	n.finalUsage = &finalUsage{store: o.Store, log: o.Log, window: o.Settings.UsageWindow, counts: map[int64]map[string]int64{}}
+	n.storeReturn = &storeReturn{store: o.Store, log: o.Log, metrics: o.Metrics, readers: readers, settled: make(chan struct{}),
+		returned: n.announceReturn, rewrite: n.rewriteRows}
+	n.config.awaitSettled, n.servers.awaitSettled = n.storeReturn.awaitSettled, n.storeReturn.awaitSettled
 	n.quarantined = &quarantineRows{store: o.Store, list: o.Store.Snapshot, tracker: n.crashes.tracker, loaded: n.crashes.resendRestrictions, log: o.Log,
 		isWriter: func() bool { return readers.lost.Load() == 0 && n.peers.readerRank() == 0 }, stored: map[string]strike.Record{}}
 	n.servers.heartbeatInterval, n.servers.onStoreChange, n.config.onStoreChange =
@@ -148,6 +155,7 @@
 		work.Go(func() { run(background) })
 	}
 	work.Go(func() { n.quarantined.run(background, n.settings.FirstStart) })
+	work.Go(func() { n.storeReturn.run(background, n.settings.FirstStart) })
 	dutiesCtx, stopDuties := context.WithCancel(background)
 	defer stopDuties()
 	work.Go(func() { n.runDuties(dutiesCtx) })
@@ -236,6 +244,27 @@
 	}
 }
 
+// announceReturn tells the other nodes at once that the store has returned from a copy. Those that do not read it learn
+// of the return from this node.
+func (n *Node) announceReturn() {
+	if n.peers.readers.selected() {
+		n.peers.requestUrgent()
+	}
+}
+
+// rewriteRows writes again what this node has written to the store and a return may have lost. What it wrote in the
+// current era is left out.
+func (n *Node) rewriteRows(ctx context.Context, era uint64) {
+	written := n.finalUsage.rewrite(ctx, n.usage.WindowNumber(time.Now()))
+	if rewritten, err := n.peers.rewriteRow(ctx, era); err != nil {
+		n.log.WithError(err).Warning("writing own node row again failed; other nodes know this one from its heartbeats")
+	} else if rewritten {
+		written++
+	}
+	n.metrics.Add("rows_written_again", int64(written))
+	n.log.WithFields(logrus.Fields{"era": era, "rows": written}).Info(logline.RowsWrittenAgain)
+}
+
 // configChanged sets the quota limits of a configuration before it is in force.
 func (n *Node) configChanged(c *serving.Config) {
 	limits := make([]quota.Limit, 0, len(c.Workspaces))
--- a/internal/edge/peerrows.go
+++ b/internal/edge/peerrows.go
@@ -54,6 +54,17 @@
 	return nil
 }
 
+// rewriteRow writes this node's row unless it has done so in the given era.
+func (p *peers) rewriteRow(ctx context.Context, era uint64) (bool, error) {
+	p.mu.Lock()
+	current := platform.EraOf(p.ownRowVersion) == era
+	p.mu.Unlock()
+	if current {
+		return false, nil
+	}
+	return true, p.writeRow(ctx)
+}
+
 func (p *peers) applyRow(row platform.Row) {
 	if row.Key == p.self {
 		return
@@ -87,6 +98,7 @@
 // staleRows returns mutations that delete the rows of nodes unresponsive for longer than staleRowAge, for the duty
 // holder.
 func (p *peers) staleRows(now time.Time) []platform.Mutation {
+	era, _ := p.store.Era()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []platform.Mutation
@@ -95,7 +107,7 @@
 		if lastReceived.IsZero() {
 			lastReceived = n.addedAt
 		}
-		if n.rowVersion != 0 && now.Sub(lastReceived) > staleRowAge {
+		if platform.EraOf(n.rowVersion) == era && n.rowVersion != 0 && now.Sub(lastReceived) > staleRowAge {
 			out = append(out, platform.Mutation{Table: nodeTable, Key: name, Delete: true,
 				If: platform.Condition{Kind: platform.VersionIs, Version: n.rowVersion}})
 		}
--- a/internal/edge/quarantinerows.go
+++ b/internal/edge/quarantinerows.go
@@ -36,8 +36,9 @@
 	// isWriter reports whether this node writes the rows. Two writers for a moment do no harm.
 	isWriter func() bool
 	log      *logrus.Entry
-	// stored holds the records that this node has read or written, by digest.
+	// stored holds the records that this node has read or written, by digest, in the given era of the store.
 	stored map[string]strike.Record
+	era    uint64
 }
 
 func (q *quarantineRows) run(ctx context.Context, firstStart bool) {
@@ -64,10 +65,11 @@
 func (q *quarantineRows) load(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, quarantineStoreTimeout)
 	defer cancel()
-	rows, _, err := q.list(ctx, quarantineTable)
+	rows, version, err := q.list(ctx, quarantineTable)
 	if err != nil {
 		return err
 	}
+	q.stored, q.era = map[string]strike.Record{}, platform.EraOf(version)
 	for _, row := range rows {
 		message := &pb.QuarantineRow{}
 		if err := proto.Unmarshal(row.Value, message); err != nil {
@@ -88,6 +90,12 @@
 
 // sync writes the rows of new and changed records, and deletes those of requests that are no longer quarantined.
 func (q *quarantineRows) sync(ctx context.Context, now time.Time) error {
+	if era, _ := q.store.Era(); era != q.era {
+		// The store may have lost rows, or have ones that were deleted.
+		if err := q.load(ctx, now); err != nil {
+			return err
+		}
+	}
 	current := map[string]strike.Record{}
 	var mutations []platform.Mutation
 	for _, c := range q.tracker.Restrictions(now) {
--- a/internal/edge/serverview.go
+++ b/internal/edge/serverview.go
@@ -65,6 +65,8 @@
 	// of their reads.
 	readers           *readerSelection
 	heartbeatInterval func() time.Duration
+	// awaitSettled delays the first read from the store shortly after its return from a copy.
+	awaitSettled func(ctx context.Context) (held bool, err error)
 
 	// loaded is set once the view has been read or received.
 	loaded  atomic.Bool
@@ -76,8 +78,14 @@
 	changedAt time.Time
 	// freshAsOf is the start time of the read that this view is as fresh as.
 	freshAsOf time.Time
-	// storeRecoveredAt is when the store was first read after an outage.
+	// storeRecoveredAt is when the store was first read after an outage or a return from a copy.
 	storeRecoveredAt time.Time
+	// copyVersion is the first version at which this view was read in the store's current era, if it was also read in an
+	// earlier one. Rows up to this version may come from the copy and be older than what this node knows.
+	copyVersion uint64
+	// unconfirmed holds the versions of rows that did not change while a node that started shortly after a return of the
+	// store waited: without any node that remembers the time before, a server counts only once it has written its row.
+	unconfirmed map[string]uint64
 	// removed lists removed servers, oldest first. removedFloor is the version of the newest one that was dropped from
 	// the list; changes since versions before it cannot be exported.
 	removed      []removedServer
@@ -141,11 +149,11 @@
 	v.mu.Unlock()
 	sent := time.Now()
 	if since == 0 {
-		return v.readAll(ctx, sent)
+		return v.readAll(ctx)
 	}
 	changes, version, err := v.store.Changes(ctx, v.table, since, 0)
 	if errors.Is(err, platform.ErrHistoryGone) {
-		return v.readAll(ctx, sent)
+		return v.readAll(ctx)
 	}
 	if err != nil {
 		return err
@@ -163,7 +171,7 @@
 			v.put(c.Key, c.Value, c.Version)
 		}
 	}
-	v.version = max(version, since)
+	v.setVersion(max(version, since), sent)
 	v.freshAsOf = sent
 	if v.publish() {
 		v.pending.add(v.contentVersion, sent)
@@ -173,17 +181,23 @@
 	return nil
 }
 
-func (v *serverView) readAll(ctx context.Context, sent time.Time) error {
-	rows, version, err := v.store.Snapshot(ctx, v.table)
+func (v *serverView) readAll(ctx context.Context) error {
+	snapshot, err := readSettled(ctx, v.store, v.table, v.awaitSettled)
 	if err != nil {
 		return err
 	}
+	rows, version, sent := snapshot.rows, snapshot.version, snapshot.sentAt
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if version < v.version {
 		return nil // older than a view received from a peer
 	}
+	v.unconfirmed = make(map[string]uint64, len(snapshot.before))
+	for _, row := range snapshot.before {
+		v.unconfirmed[row.Key] = row.Version
+	}
 	v.recordStoreRecovery(sent)
+	newEra := v.setVersion(version, sent)
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
@@ -194,17 +208,32 @@
 			v.remove(key, sent, version)
 		}
 	}
-	v.version = version
 	v.freshAsOf = sent
 	v.incomplete = false
-	if v.publish() {
+	changed := v.publish()
+	if changed {
 		v.contentVersion = version
-		v.onStoreChange()
+	}
+	if changed || newEra {
+		v.onStoreChange() // peers adopt the version of the new era
 	}
 	v.loaded.Store(true)
 	return nil
 }
 
+// setVersion sets the store version of the view, and reports whether it belongs to a later era than the one before.
+func (v *serverView) setVersion(version uint64, now time.Time) (newEra bool) {
+	newEra = v.version != 0 && platform.EraOf(version) > platform.EraOf(v.version)
+	if newEra {
+		v.storeRecoveredAt, v.copyVersion, v.contentVersion = now, version, version
+		v.pending = pendingChanges{}
+		v.log.WithFields(logrus.Fields{"version": platform.FormatVersion(version), "before": platform.FormatVersion(v.version)}).
+			Info("view of backend servers continues in a new era of the store")
+	}
+	v.version = version
+	return newEra
+}
+
 // recordStoreRecovery records the first read after a store outage.
 func (v *serverView) recordStoreRecovery(now time.Time) {
 	if !v.freshAsOf.IsZero() && now.Sub(v.freshAsOf) > outageThreshold {
@@ -217,7 +246,13 @@
 	if e != nil && e.version >= version && e.expiresAt.IsZero() {
 		return
 	}
+	if v.unconfirmed[key] == version && version != 0 {
+		return
+	}
 	server, err := v.records.Server(key, value)
+	if err == nil && e == nil && v.isRemoved(key, server, version) {
+		return
+	}
 	if err != nil && (e == nil || !e.invalid) {
 		v.log.WithError(err).WithField("key", key).Warning("decoding row of a server failed; ignoring it")
 	}
@@ -233,11 +268,26 @@
 		next.changedVersion = e.changedVersion
 	} else {
 		v.log.WithFields(logrus.Fields{logline.Server: key, "service": server.Service, "addr": server.Address,
-			"draining": server.State == serving.Draining, "born": server.Born, "row_version": version}).Info(logline.ServerChanged)
+			"draining": server.State == serving.Draining, "born": server.Born, "row_version": platform.FormatVersion(version)}).Info(logline.ServerChanged)
 	}
 	v.entries[key] = next
 }
 
+// isRemoved reports whether a row describes a server as it was before this node removed it. In a row from a copy it
+// always does; a later one may have been under way for long.
+func (v *serverView) isRemoved(key string, server serving.Server, version uint64) bool {
+	if v.copyVersion == 0 {
+		return false
+	}
+	for i := len(v.removed) - 1; i >= 0; i-- {
+		r := &v.removed[i]
+		if r.key == key {
+			return server.Born <= r.born && (version <= v.copyVersion || server.Sequence < r.sequence)
+		}
+	}
+	return false
+}
+
 // isOlder reports whether row now was written before row known, by the same process of the server or an earlier one.
 func isOlder(now, known serving.Server) bool {
 	if now.Born != known.Born {
@@ -320,7 +370,8 @@
 	// The same content at a newer version: this view is as fresh as the peer's.
 	if at := now.Add(-time.Duration(peer.AgeMs) * time.Millisecond); at.After(v.freshAsOf) && v.version != 0 {
 		v.recordStoreRecovery(at)
-		v.freshAsOf, v.version = at, peer.Version
+		v.setVersion(peer.Version, now)
+		v.freshAsOf = at
 	}
 	return false
 }
--- a/internal/edge/storereaders.go
+++ b/internal/edge/storereaders.go
@@ -58,6 +58,8 @@
 	table string
 	// beforeSnapshot is called before the whole table is read; it may be nil.
 	beforeSnapshot func(ctx context.Context) error
+	// awaitSettled is called after the whole table was read, see storeReturn; it may be nil.
+	awaitSettled func(ctx context.Context) (held bool, err error)
 	// apply is called with each row of the table, and later with each change.
 	apply func(ctx context.Context, c platform.Change) error
 }
@@ -88,16 +90,50 @@
 			return 0, err
 		}
 	}
-	rows, version, err := r.store.Snapshot(ctx, r.table)
+	snapshot, err := readSettled(ctx, r.store, r.table, r.awaitSettled)
 	if err != nil {
 		return 0, err
 	}
-	for _, row := range rows {
+	for _, row := range snapshot.rows {
 		if err := r.apply(ctx, platform.Change{Row: row}); err != nil {
 			return 0, err
 		}
 	}
-	return version, nil
+	return snapshot.version, nil
+}
+
+// tableSnapshot is the content of a table.
+type tableSnapshot struct {
+	rows    []platform.Row
+	version uint64
+	// sentAt is when the read was sent.
+	sentAt time.Time
+	// before holds the rows read before a wait of awaitSettled; nil if it did not wait.
+	before []platform.Row
+}
+
+// readSettled reads a table. In a node that starts shortly after a return of the store it reads it again once its rows
+// have settled. awaitSettled is that of storeReturn; it may be nil.
+func readSettled(ctx context.Context, store Store, table string, awaitSettled func(context.Context) (bool, error)) (tableSnapshot, error) {
+	s, err := readTable(ctx, store, table)
+	if err != nil || awaitSettled == nil {
+		return s, err
+	}
+	held, err := awaitSettled(ctx)
+	if err != nil || !held {
+		return s, err
+	}
+	before := s.rows
+	s, err = readTable(ctx, store, table)
+	s.before = before
+	return s, err
+}
+
+func readTable(ctx context.Context, store Store, table string) (tableSnapshot, error) {
+	s := tableSnapshot{sentAt: time.Now()}
+	var err error
+	s.rows, s.version, err = store.Snapshot(ctx, table)
+	return s, err
 }
 
 // watch calls step until ctx ends: at the start until the whole table has been read, later while this node is selected
--- a/internal/edge/usagereport.go
+++ b/internal/edge/usagereport.go
@@ -6,11 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/pollenlug/pollenlug/internal/logline"
-	"github.com/pollenlug/pollenlug/internal/pb"
-	"github.com/pollenlug/pollenlug/pkg/platform"
 )
 
 // reportUsage reports the final usage windows that have not been reported in this term.
@@ -22,6 +19,11 @@
 			continue
 		}
 		counts, err := h.finalCounts(ctx, number)
+		if errors.Is(err, errReportUnknown) {
+			h.reported[number] = true
+			h.n.log.WithError(err).WithField("window", number).Warning("usage window not reported")
+			continue
+		}
 		if err != nil {
 			h.n.log.WithError(err).WithField("window", number).Warning("usage counts not made final")
 			continue
@@ -43,8 +45,7 @@
 	}
 }
 
-// finalCounts returns the final counts of a window. They are stored once, before the first report, so that every report
-// of a window is the same.
+// finalCounts returns the final counts of a window.
 func (h *dutyHolder) finalCounts(ctx context.Context, number int64) (map[string]int64, error) {
 	if counts, ok := h.final[number]; ok {
 		return counts, nil
@@ -53,35 +54,11 @@
 	if len(counts) == 0 {
 		return nil, nil
 	}
-	value, err := proto.Marshal(&pb.FrozenUsage{Counts: counts})
+	mayBeReported := h.n.usage.WindowEnd(number).Add(usageSettleTime).Before(h.n.storeReturn.lastReturn())
+	counts, err := h.n.finalUsage.get(ctx, number, counts, mayBeReported)
 	if err != nil {
 		return nil, err
 	}
-	key := time.Unix(0, number*int64(h.n.settings.UsageWindow)).UTC().Format("20060102T150405.000")
-	row := platform.Mutation{Table: usageTable, Key: key, Value: value, If: platform.Condition{Kind: platform.Absent}}
-	_, err = h.n.store.Commit(ctx, []platform.Mutation{row})
-	var conflict *platform.ConflictError
-	switch {
-	case err == nil:
-	case errors.As(err, &conflict) || errors.Is(err, platform.ErrOutcomeUnknown):
-		if counts, err = h.readFinalCounts(ctx, key); err != nil {
-			return nil, err
-		}
-	default:
-		return nil, err
-	}
 	h.final[number] = counts
 	return counts, nil
 }
-
-func (h *dutyHolder) readFinalCounts(ctx context.Context, key string) (map[string]int64, error) {
-	row, err := h.n.store.Get(ctx, usageTable, key)
-	if err != nil {
-		return nil, err
-	}
-	stored := &pb.FrozenUsage{}
-	if err := proto.Unmarshal(row.Value, stored); err != nil {
-		return nil, err
-	}
-	return stored.Counts, nil
-}
--- a/internal/edge/viewchanges.go
+++ b/internal/edge/viewchanges.go
@@ -8,6 +8,7 @@
 
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/platform"
 )
 
 const (
@@ -22,10 +23,13 @@
 // errDigestMismatch means that a peer's changes did not lead to the peer's view; the whole view is needed.
 var errDigestMismatch = errors.New("server changes do not lead to the view of the peer")
 
-// removedServer is a server that was removed at a store version.
+// removedServer is a server that was removed at a store version, with the start of its process and the sequence number
+// of its last known row.
 type removedServer struct {
-	key     string
-	version uint64
+	key      string
+	version  uint64
+	born     int64
+	sequence int64
 }
 
 // pendingChanges determines which changes the next heartbeats contain.
@@ -44,8 +48,9 @@
 
 // drop removes a server and adds it to the removed ones.
 func (v *serverView) drop(key string, version uint64) {
+	e := v.entries[key]
 	delete(v.entries, key)
-	v.removed = append(v.removed, removedServer{key, version})
+	v.removed = append(v.removed, removedServer{key, version, e.server.Born, e.server.Sequence})
 	if n := len(v.removed) - maxRemovedServers; n > 0 {
 		v.removedFloor = max(v.removedFloor, v.removed[n-1].version)
 		v.removed = v.removed[n:]
@@ -60,7 +65,7 @@
 }
 
 func (v *serverView) exportLocked(since uint64, now time.Time) *pb.ServerView {
-	if since < v.removedFloor || since > v.version {
+	if since < v.removedFloor || since > v.version || platform.EraOf(since) != platform.EraOf(v.version) {
 		since = 0
 	}
 	out := &pb.ServerView{Version: v.version, Digest: v.digest, Since: since,
@@ -112,17 +117,25 @@
 	if view.Version <= v.version || view.Since > v.version || (view.Since > 0 && !v.loaded.Load()) {
 		return nil
 	}
+	newEra := platform.EraOf(view.Version) > platform.EraOf(v.version) && v.version != 0
+	if newEra {
+		v.setVersion(view.Version, now)
+	}
 	present := make(map[string]bool, len(view.Entries))
 	for _, e := range view.Entries {
 		present[e.Key] = true
 		v.put(e.Key, e.Value, e.Version)
-		if e.GoneInMs > 0 {
-			v.entries[e.Key].expiresAt = now.Add(time.Duration(e.GoneInMs) * time.Millisecond)
+		if known := v.entries[e.Key]; e.GoneInMs > 0 && known != nil {
+			known.expiresAt = now.Add(time.Duration(e.GoneInMs) * time.Millisecond)
 		}
 	}
 	if view.Since == 0 {
 		for key := range v.entries {
-			if !present[key] {
+			switch {
+			case present[key]:
+			case newEra:
+				v.remove(key, now, view.Version) // the peer may not have known it
+			default:
 				v.drop(key, view.Version)
 			}
 		}
@@ -139,7 +152,7 @@
 		v.incomplete = true
 		return errDigestMismatch
 	}
-	v.version = view.Version
+	v.setVersion(view.Version, now)
 	v.freshAsOf = now.Add(-time.Duration(view.AgeMs) * time.Millisecond)
 	v.incomplete = false
 	if changed {
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -13,7 +13,8 @@
 	logline.NodeStarted, logline.NodeDraining, logline.NodeStopped, logline.NodeDiscovered, logline.RequestsCutOff,
 	logline.ConfigInForce, logline.ConfigRowUnreadable, logline.ServerChanged, logline.ServerGone, logline.ServerRowVanished,
 	logline.CrashRecord, logline.DutiesAcquired, logline.DutiesEnded, logline.ServersOrdered, logline.OrderRefused,
-	logline.UsageReported, logline.DependencyLost, logline.DependencyRegained,
+	logline.UsageReported, logline.DependencyLost, logline.DependencyRegained, logline.StoreReturned, logline.StoreSettled,
+	logline.RowsWrittenAgain,
 }
 
 // Timeline returns the lines between two times, inclusive, that mark a change of a node's state or of its view of the
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -26,6 +26,9 @@
 	UsageReported       = "usage reported"
 	RequestsCutOff      = "requests cut off at the end of the grace"
 	NodeDiscovered      = "node heard of"
+	StoreReturned       = "store returned from a copy; what it acknowledged last is lost"
+	StoreSettled        = "return of the store settled"
+	RowsWrittenAgain    = "rows lost by the store written again"
 	ConfigRowUnreadable = "configuration row cannot be read; the one before stays in force"
 )
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,49 +51,81 @@
 }
 
 func runSeed(t *testing.T, seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 1))
 	env := newTestEnv(t, *nodesFlag, 3)
+	s := startSoak(t, env, seed)
+	f := &injector{env: env, rng: rand.New(rand.NewPCG(seed, 1))}
+	f.kinds = f.allKinds()
+	f.run(*timeFlag)
+	f.clearFaults()
+	s.finish(t, f)
+}
+
+// soak is one run with callers that send requests all the time.
+type soak struct {
+	env     *testEnv
+	seed    uint64
+	callers *callers
+	stop    context.CancelFunc
+	running sync.WaitGroup
+}
+
+func startSoak(t *testing.T, env *testEnv, seed uint64) *soak {
 	c := &callers{env: env, notRun: map[string]string{}, client: &http.Client{Timeout: 8 * time.Second,
 		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}}}
 	c.awaitServing(t, 10*time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var running sync.WaitGroup
+	t.Cleanup(cancel)
+	s := &soak{env: env, seed: seed, callers: c, stop: cancel}
 	for i := range 8 {
-		running.Go(func() { c.sendUntilDone(ctx, rand.New(rand.NewPCG(seed, uint64(i+2)))) })
+		s.running.Go(func() { c.sendUntilDone(ctx, rand.New(rand.NewPCG(seed, uint64(i+2)))) })
 	}
-	f := &injector{env: env, rng: rng}
-	f.run(*timeFlag)
-	f.clearFaults()
-	env.withFinalRoute = true
-	env.configure()
-	c.awaitServing(t, 12*time.Second)
-	c.awaitFinalRoute(t, 5*time.Second)
-	cancel()
-	running.Wait()
-	t.Logf("seed %d: %d requests, %d served, %d refused as not run, %d connection errors, faults %v", seed, c.sent.Load(), c.served.Load(), len(c.notRun), c.connErrors.Load(), f.counts)
+	return s
+}
+
+// finish waits until the deployment has recovered, ends the callers and checks what they got.
+func (s *soak) finish(t *testing.T, f *injector) {
+	s.env.withFinalRoute = true
+	s.env.configure()
+	s.callers.awaitServing(t, 12*time.Second)
+	s.callers.awaitFinalRoute(t, 5*time.Second)
+	s.stop()
+	s.running.Wait()
+	c := s.callers
+	t.Logf("seed %d: %d requests, %d served, %d refused as not run, %d connection errors, faults %v", s.seed, c.sent.Load(), c.served.Load(), len(c.notRun), c.connErrors.Load(), f.counts)
 	c.checkGuarantees(t)
 }
 
+// fault is one kind of fault.
+type fault struct {
+	name   string
+	inject func(d time.Duration)
+}
+
 // injector injects random faults, which can overlap.
 type injector struct {
 	env          *testEnv
 	rng          *rand.Rand
+	kinds        []fault
 	counts       map[string]int
 	pendingUndos sync.WaitGroup
+	// configMu guards the configuration of env where faults that end later change it.
+	configMu sync.Mutex
+	// withdrawn are the API keys that were withdrawn or will be.
+	withdrawn []string
+}
+
+// allKinds returns the kinds of faults on any platform.
+func (f *injector) allKinds() []fault {
+	return []fault{{"kill", f.kill}, {"terminate", f.terminate}, {"pause", f.pause}, {"hangup", f.hangup}, {"store", f.storeFault},
+		{"store link", f.storeLink}, {"server link", f.serverLink}, {"server", f.serverFault}, {"drain", f.drain}, {"configuration", f.configure}}
 }
 
 func (f *injector) run(d time.Duration) {
 	f.counts = map[string]int{}
-	kinds := []struct {
-		name string
-		do   func(time.Duration)
-	}{{"kill", f.kill}, {"terminate", f.terminate}, {"pause", f.pause}, {"hangup", f.hangup}, {"store", f.storeFault},
-		{"store link", f.storeLink}, {"server link", f.serverLink}, {"server", f.serverFault}, {"drain", f.drain}, {"configuration", f.configure}}
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		kind := kinds[f.rng.IntN(len(kinds))]
+		kind := f.kinds[f.rng.IntN(len(f.kinds))]
 		f.counts[kind.name]++
-		kind.do(time.Duration(200+f.rng.IntN(2000)) * time.Millisecond)
+		kind.inject(time.Duration(200+f.rng.IntN(2000)) * time.Millisecond)
 		time.Sleep(time.Duration(50+f.rng.IntN(450)) * time.Millisecond)
 	}
 }
@@ -172,7 +204,11 @@
 	f.env.register(i, "draining", 2)
 }
 
-func (f *injector) configure(time.Duration) { f.env.configure() }
+func (f *injector) configure(time.Duration) {
+	f.configMu.Lock()
+	defer f.configMu.Unlock()
+	f.env.configure()
+}
 
 func (f *injector) clearFaults() {
 	f.pendingUndos.Wait()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -41,6 +41,7 @@
 	name, settings                      string
 	callerAddr, readyAddr, registryAddr string
 	storeProxy                          *proxy
+	restartSettings                     []byte
 	log                                 *os.File
 	mu                                  sync.Mutex
 	cmd                                 *exec.Cmd
@@ -59,6 +60,18 @@
 	version        int
 	withFinalRoute bool
 	stopping       atomic.Bool
+
+	// rowsMu guards rows, and servers and links where a server is added.
+	rowsMu sync.Mutex
+	rows   []serverRow // of servers
+	// keys are the API keys besides apiKey that the configuration has.
+	keys []string
+}
+
+// serverRow is what a server last wrote about itself.
+type serverRow struct {
+	state    string
+	sequence int
 }
 
 func newTestEnv(t *testing.T, nodes, services int) *testEnv {
@@ -79,6 +92,10 @@
 // configure writes the next version of the configuration.
 func (env *testEnv) configure() {
 	env.version++
+	env.writeConfig()
+}
+
+func (env *testEnv) writeConfig() {
 	var routes []map[string]any
 	for prefix, kind := range map[string]string{"/book/": "non_idempotent", "/look/": "idempotent", "/quote/": "streaming", finalRoute: "idempotent"} {
 		if prefix == finalRoute && !env.withFinalRoute {
@@ -95,7 +112,7 @@
 		"services": []map[string]any{{"name": "desk", "max_conns": 100}, {"name": "engine", "max_conns": 100,
 			"engine_type": map[string]any{"slots": 16, "kv_capacity": 100000}}},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
-		"tenants": []map[string]any{{"name": "guild", "api_keys": []string{apiKey}, "unit": "token_count", "uncached_tokens": 10, "rate_per_s": 100000, "burst": 100000}}})
+		"tenants": []map[string]any{{"name": "guild", "api_keys": append([]string{apiKey}, env.keys...), "unit": "token_count", "uncached_tokens": 10, "rate_per_s": 100000, "burst": 100000}}})
 }
 
 func (env *testEnv) addServer(plain bool) {
@@ -107,11 +124,35 @@
 	s.SetBehavior(func(*http.Request) standin.Behavior { return standin.Behavior{Gap: 10 * time.Millisecond} })
 	env.t.Cleanup(s.Close)
 	p := newProxy(env.t, s.Addr())
+	env.rowsMu.Lock()
 	env.servers, env.links = append(env.servers, s), append(env.links, p)
+	env.rowsMu.Unlock()
 	env.register(len(env.servers)-1, "ready", 1)
 }
 
 func (env *testEnv) register(i int, state string, sequence int) {
+	env.rowsMu.Lock()
+	defer env.rowsMu.Unlock()
+	for len(env.rows) <= i {
+		env.rows = append(env.rows, serverRow{})
+	}
+	env.rows[i] = serverRow{state, sequence}
+	env.writeRow(i)
+}
+
+// beat makes all servers write their rows again. The caller must not hold rowsMu.
+func (env *testEnv) beat() {
+	env.rowsMu.Lock()
+	defer env.rowsMu.Unlock()
+	for i := range env.rows {
+		env.rows[i].sequence++
+		env.writeRow(i)
+	}
+}
+
+// writeRow writes the row of a server. The caller must hold rowsMu.
+func (env *testEnv) writeRow(i int) {
+	state, sequence := env.rows[i].state, env.rows[i].sequence
 	service := "engine"
 	if env.servers[i].Events == 0 {
 		service = "desk"
@@ -142,6 +183,9 @@
 	data, err := json.Marshal(boot)
 	assert.NilError(env.t, err)
 	assert.NilError(env.t, os.WriteFile(p.settings, data, 0o600))
+	boot["bootstrap"] = false
+	p.restartSettings, err = json.Marshal(boot)
+	assert.NilError(env.t, err)
 	p.log, err = os.Create(filepath.Join(env.t.ArtifactDir(), p.name+".log"))
 	assert.NilError(env.t, err)
 	env.nodes = append(env.nodes, p)
@@ -174,6 +218,10 @@
 	go func() {
 		_ = cmd.Wait() // a killed process returns an error
 		time.Sleep(300 * time.Millisecond)
+		// Only the first start is one of the whole deployment.
+		if err := os.WriteFile(p.settings, p.restartSettings, 0o600); err != nil {
+			env.t.Error(err)
+		}
 		if env.stopping.Load() {
 			close(ended)
 			return
