quota: nodes that start together charge what each other admit

A node that starts adopts the level of the first peer that reports and charges nothing for the first reports of the others: their use is in that level if they have run for long. If all have just started it is in nobody's, and each also took the whole initial level for its own until it had heard of the others.

Change: the first report of a peer that did not start before this node is charged as a whole, only levels of older peers are adopted, less what this node has admitted, and the share of an interval counts nodes that have a row but have not reported.

Ruled out: the change of the limit at 12.1 s (lowers nothing before it is in force) and the hot tenant alone (a simulation without restarts keeps to it).

--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -19,7 +19,7 @@
 		CallerAddr: n.settings.CallerAddr, PeerAddr: n.settings.PeerAddr, ControlAddr: n.settings.ControlAddr,
 		Ready: n.viewsLoaded(), Leaving: n.stopping.Load(), ConfigVersion: n.config.Version(), Servers: n.servers.state(now),
 		HoldsDuties: n.holdsDuties.Load(), StoreLost: n.peers.readers.lost.Load() > 0,
-		Changes: n.servers.heartbeatChanges(n.peers.heartbeatInterval(), now), NewsOnly: true, StoreEra: era,
+		Changes: n.servers.heartbeatChanges(n.peers.heartbeatInterval(), now), NewsOnly: true, StoreEra: era, Cores: float32(n.settings.Cores),
 	}
 }
 
@@ -56,7 +56,9 @@
 	}
 	name := incarnation(heartbeat.Node, heartbeat.Started)
 	n.board.SetPeer(heartbeat.Node, n.serverLoads(heartbeat), now)
-	n.quota.ApplyReport(name, n.workspaceUses(heartbeat), now)
+	older := heartbeat.Started < n.started.Add(-startSkew).UnixMilli()
+	n.quota.ApplyReport(name, n.workspaceUses(heartbeat), older, now)
+	n.quota.SetNodes(n.peers.knownNodes())
 	windows := make([]usage.Window, 0, len(heartbeat.Usage))
 	for _, w := range heartbeat.Usage {
 		windows = append(windows, usage.Window{Number: w.Number, Counts: w.Counts})
@@ -101,6 +103,9 @@
 	return loads
 }
 
+// startSkew is the largest assumed difference between the clocks of two machines when their start times are compared.
+const startSkew = 2 * time.Second
+
 const summaryInterval = 10 * time.Second
 
 // unreportedInterval is how often the load sent by other nodes but not yet reported to this one is estimated.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -135,6 +135,13 @@
 	return p.maxNodesSeen
 }
 
+// knownNodes returns the number of nodes that have a row in the store or have sent a heartbeat lately, including this one.
+func (p *peers) knownNodes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.nodes) + 1
+}
+
 // heartbeatIntervalLocked is heartbeatInterval for callers that hold mu.
 func (p *peers) heartbeatIntervalLocked() time.Duration {
 	return max(minHeartbeatInterval, time.Duration(p.maxNodesSeen)*heartbeatIntervalPerNode)
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -7,7 +7,8 @@
 //
 // For a node that does not report, an equal share of the rate is charged until its total is known again. Both sides of a
 // partition do that, so together they stay below the limit. A node that starts has a fraction of the burst until a peer
-// reports its level, since all nodes may have been restarted right after the burst was used.
+// that has run for longer reports its level, since all nodes may have been restarted right after the burst was used. What
+// nodes that started with it or later have admitted is in no such level and is charged as a whole.
 //
 // Load pattern: one customer sends many times its usual load, spread over all nodes. Equal shares per node would refuse
 // requests while other nodes have capacity left, and independent counts per node would admit a multiple of the limit.
@@ -59,6 +60,8 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	// nodes is the number of nodes, also of those that have not reported yet.
+	nodes int
 }
 
 type bucket struct {
@@ -83,6 +86,13 @@
 	return &Buckets{buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
+// SetNodes sets the number of nodes that are known, this one included, whether they have reported or not.
+func (b *Buckets) SetNodes(nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = nodes
+}
+
 // SetLimits applies the limits of a new configuration; those with a Rate of 0 or less are ignored. Buckets that remain
 // keep their level, up to the new burst.
 func (b *Buckets) SetLimits(limits []Limit, now time.Time) {
@@ -124,7 +134,7 @@
 	k.refill(now)
 	b.chargeUnresponsive(now)
 	level := k.level - b.unreported(workspace, now)
-	if k.admitted > max(fairShareFactor*level/float64(len(b.peers)+1), growthFactor*k.admittedBefore) {
+	if k.admitted > max(fairShareFactor*level/float64(max(len(b.peers)+1, b.nodes)), growthFactor*k.admittedBefore) {
 		return minRetry, false
 	}
 	if level <= 0 {
@@ -174,8 +184,9 @@
 	return uses
 }
 
-// ApplyReport applies the report of another node. A node must have another name after a restart.
-func (b *Buckets) ApplyReport(node string, uses []Use, now time.Time) {
+// ApplyReport applies the report of another node. A node must have another name after a restart. older is set if its
+// process has run for longer than this one's.
+func (b *Buckets) ApplyReport(node string, uses []Use, older bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[node]
@@ -192,12 +203,13 @@
 		k.refill(now)
 		before, known := p.totals[u.Workspace]
 		switch {
-		case !k.levelReceived:
-			k.level, k.levelReceived = min(u.Level, k.Burst), true
+		case !k.levelReceived && older:
+			// The peer may not have heard yet what this node has admitted.
+			k.level, k.levelReceived = min(u.Level, k.Burst)-k.total, true
 		case known:
 			k.level = min(k.Burst, k.level-(u.Total-before)+p.charged[u.Workspace])
 			p.rates[u.Workspace] = max(0, u.Total-before) / max(now.Sub(p.reportedAt), minReportInterval).Seconds()
-		case !first:
+		case !first || !older:
 			k.level -= u.Total
 		}
 		p.totals[u.Workspace] = u.Total
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -33,23 +33,35 @@
 	disconnected map[int]bool
 	// interval is the interval at which nodes report their totals.
 	interval time.Duration
+	limit    Limit
+	// cost is the cost of a request.
+	cost func(*rand.Rand) float64
+	// started holds the start times of the nodes.
+	started []time.Time
 }
 
 func newSimulation(nodes int) *simulation {
-	r := &simulation{now: time.Unix(1000, 0), disconnected: map[int]bool{}, interval: exchangeInterval}
+	r := &simulation{now: time.Unix(1000, 0), disconnected: map[int]bool{}, interval: exchangeInterval,
+		limit: Limit{Workspace: "w", Rate: rate, Burst: burst}, cost: func(r *rand.Rand) float64 { return 500 + r.Float64()*12_000 }}
 	for i := range nodes {
 		r.names = append(r.names, fmt.Sprint("node-", i))
-		r.nodes = append(r.nodes, r.newBuckets())
+		r.nodes, r.started = append(r.nodes, r.newBuckets()), append(r.started, r.now)
 	}
 	return r
 }
 
 func (r *simulation) newBuckets() *Buckets {
 	b := New()
-	b.SetLimits([]Limit{{Workspace: "w", Rate: rate, Burst: burst}}, r.now)
+	b.SetLimits([]Limit{r.limit}, r.now)
+	b.SetNodes(len(r.names))
 	return b
 }
 
+// restart replaces node i by a new process.
+func (r *simulation) restart(i int) {
+	r.nodes[i], r.names[i], r.started[i] = r.newBuckets(), r.names[i]+"'", r.now
+}
+
 // run offers demand tokens per second for the duration d; pick selects the node of each request.
 func (r *simulation) run(d time.Duration, demand float64, pick func(*rand.Rand) int) {
 	rng := rand.New(rand.NewPCG(1, uint64(r.now.UnixNano())))
@@ -57,7 +69,7 @@
 	left := 0.0
 	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(step) {
 		for left += demand * step.Seconds(); left > 0; {
-			cost := 500 + rng.Float64()*12_000
+			cost := r.cost(rng)
 			left -= cost
 			i := pick(rng)
 			if _, ok := r.nodes[i].Take("w", cost, r.now); ok {
@@ -80,7 +92,7 @@
 		uses := from.Export(r.now)
 		for j, to := range r.nodes {
 			if i != j && !r.disconnected[i] && !r.disconnected[j] {
-				to.ApplyReport(r.names[i], uses, r.now)
+				to.ApplyReport(r.names[i], uses, r.started[i].Before(r.started[j]), r.now)
 			}
 		}
 	}
@@ -100,7 +112,11 @@
 	return most
 }
 
-func maxAllowed() float64 { return (rate*window.Seconds()+burst)*(1+overshoot) + slack }
+func maxAllowed() float64 { return maxAllowedOf(Limit{Rate: rate, Burst: burst}, slack) }
+
+func maxAllowedOf(l Limit, slack float64) float64 {
+	return (l.Rate*window.Seconds()+l.Burst)*(1+overshoot) + slack
+}
 
 func anyNode(n int) func(*rand.Rand) int { return func(r *rand.Rand) int { return r.IntN(n) } }
 
@@ -141,7 +157,7 @@
 	clear(r.disconnected)
 	r.run(3*time.Second, 4*rate, anyNode(8))
 	for i := range r.nodes {
-		r.nodes[i], r.names[i] = r.newBuckets(), r.names[i]+"'"
+		r.restart(i)
 	}
 	r.run(8*time.Second, 4*rate, anyNode(8))
 	assert.Assert(t, r.maxInWindow() <= maxAllowed(), "%.0f over %.0f", r.maxInWindow(), maxAllowed())
@@ -174,3 +190,38 @@
 	}
 	assert.Assert(t, total > 0.9*(0.6*10*rate+15*rate), "only %.0f admitted", total)
 }
+
+// Replays the loss of all processes of 72 nodes while a workspace sends several times its limit. Guards against nodes
+// that each admit a part of the burst before they have heard of the others, whose use nobody charges later; seen on
+// trouble-3 of ribcraft-mu-grown.
+func TestLimitHoldsWhenAllNodesOfALargeDeploymentRestart(t *testing.T) {
+	for _, demand := range []float64{1.2, 3, 8} {
+		t.Run(fmt.Sprintf("%g times the limit", demand), func(t *testing.T) {
+			const nodes = 72
+			r := newSimulation(nodes)
+			r.interval = 580 * time.Millisecond
+			r.limit = Limit{Workspace: "w", Rate: 1_800_000, Burst: 1_800_000}
+			r.cost = func(r *rand.Rand) float64 { return 8_000 + r.Float64()*18_000 }
+			for i := range r.nodes {
+				r.nodes[i] = r.newBuckets()
+			}
+			r.run(8*time.Second, demand*r.limit.Rate, anyNode(nodes))
+			for range 2 {
+				for i := range r.nodes {
+					r.restart(i)
+				}
+				r.run(3*time.Second, demand*r.limit.Rate, anyNode(nodes))
+			}
+			r.run(6*time.Second, demand*r.limit.Rate, anyNode(nodes))
+			allowed := maxAllowedOf(r.limit, 190_000)
+			assert.Assert(t, r.maxInWindow() <= allowed, "%.0f over %.0f", r.maxInWindow(), allowed)
+			recent := 0.0
+			for _, a := range r.admitted {
+				if r.now.Sub(a.at) < 5*time.Second {
+					recent += a.cost
+				}
+			}
+			assert.Assert(t, recent > 0.9*5*r.limit.Rate, "only %.0f admitted", recent)
+		})
+	}
+}
