--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -97,8 +97,9 @@
 // checkReply detects responses that cannot be passed to the caller.
 func (n *Node) checkReply(req *request, resp *http.Response, reply serving.Reply) (sendResult, bool) {
 	switch {
-	case reply.AttemptID != "" && reply.AttemptID != req.AttemptID:
-		// A late response to an earlier request. The right one may follow, but the connection can no longer be trusted.
+	case reply.AttemptID != req.AttemptID && (reply.AttemptID != "" || reply.Signed):
+		// A late response to an earlier request, or one that may be. The right one may follow, but the connection can no
+		// longer be trusted.
 		closeBody(resp)
 		return sendResult{status: responseLost, reason: "answer_crossed"}, true
 	case reply.NotRun || reply.OtherServer:
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -263,3 +264,83 @@
 		http.StatusRequestHeaderFieldsTooLarge)
 	assert.Equal(t, n.do(t, call{path: "/nowhere/1"}).status, http.StatusNotFound)
 }
+
+// Guards against the answer to another request on a connection that is used again: a signed answer that does not name its
+// request may be one of an earlier one.
+func TestAnswerWithoutItsRequestIsNotDelivered(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	d.serve("desk-1", "desk", 0).SetBehavior(always(standin.Behavior{NoEcho: true}))
+	got := d.node().do(t, call{path: "/book/1"})
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Assert(t, !strings.Contains(got.body, "answer of"))
+}
+
+// Guards against a second copy of an answer, sent late, that reaches the next caller on the connection.
+func TestSecondCopyOfAnAnswerIsNotDelivered(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	s := d.serve("desk-1", "desk", 0)
+	n := d.node()
+	for _, delay := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 50 * time.Millisecond} {
+		s.SetBehavior(always(standin.Behavior{RepeatAfter: delay + 1}))
+		for i := range 20 {
+			path := fmt.Sprintf("/look/%s-%d", delay, i)
+			got := n.do(t, call{method: http.MethodGet, path: path})
+			attempt := got.header.Get("Pollenlug-Attempt-Id")
+			if got.status == 200 {
+				assert.Equal(t, got.body, "answer of desk-1 to "+attempt)
+			}
+			time.Sleep(time.Duration(i%4) * delay / 2)
+		}
+	}
+}
+
+// Guards against a stream that is taken for alive because its server sends a byte now and then: it goes on at another
+// server, or ends with the time of its request.
+func TestTricklingStreamIsNotKeptAlive(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	trickling := standin.Behavior{StallAfter: 3, Trickle: 100 * time.Millisecond}
+	one, two := d.serve("engine-1", "engine", 9), d.serve("engine-2", "engine", 9)
+	n := d.node()
+	first := true
+	trickleFirst := func(*http.Request) standin.Behavior {
+		if first {
+			first = false
+			return trickling
+		}
+		return standin.Behavior{}
+	}
+	one.SetBehavior(trickleFirst)
+	two.SetBehavior(trickleFirst)
+	got := n.do(t, call{path: "/quote/1"})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, events(1, 9))
+	one.SetBehavior(always(trickling))
+	two.SetBehavior(always(trickling))
+	start := time.Now()
+	got = n.do(t, call{path: "/draft/1", header: map[string]string{"Pollenlug-Deadline-Ms": "1500"}})
+	assert.Assert(t, got.err != nil, "the stream must not end as if it were complete")
+	assert.Assert(t, time.Since(start) < 2*time.Second, "took %v", time.Since(start))
+}
+
+// Guards against cutting off a stream that is slow but sound: its events come at a pace below the target of the route,
+// and a retry would be allowed.
+func TestSlowStreamIsDelivered(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	for _, id := range []string{"engine-1", "engine-2"} {
+		d.serve(id, "engine", 6).SetBehavior(always(standin.Behavior{Gap: 700 * time.Millisecond}))
+	}
+	n := d.node()
+	for _, path := range []string{"/quote/1", "/draft/1"} {
+		got := n.do(t, call{path: path})
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, events(1, 6), path)
+	}
+}
