entry, edge: callers of a large deployment are spread over all nodes

Cause: a response of the directory lists at most 64 nodes, and it listed the first 64 by name. Of the 95 nodes of the large deployment 31 got callers only from responses of their own.

Change: each failure domain of callers has its own 64 nodes, by a hash that is weighted by the cores of the nodes and is the same on all nodes.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pollenlug/pollenlug/internal/pb"
+	"github.com/pollenlug/pollenlug/pkg/entry"
 )
 
 const (
@@ -22,19 +23,19 @@
 	TTL       float64  `json:"ttl_s"`
 }
 
-// callerAddresses returns the addresses of the serving nodes: this node's own if it serves, and those of live peers
-// that are ready and not leaving. A node without live peers lists only itself.
-func callerAddresses(self string, selfServes bool, alive []*pb.PeerBeat) []string {
-	var out []string
-	if selfServes {
-		out = append(out, self)
+// callerAddresses returns the addresses of nodes for the callers of a failure domain, among this one if it serves and the
+// live peers that are ready and not leaving. A node without live peers lists only itself.
+func (n *Node) callerAddresses(domain string, alive []*pb.PeerBeat) []string {
+	var nodes []entry.Node
+	if n.serves() {
+		nodes = append(nodes, entry.Node{Name: n.settings.Node, Addr: n.settings.CallerAddr, Capacity: n.settings.Cores})
 	}
 	for _, b := range alive {
-		if b.Ready && !b.Leaving && len(out) < maxDirectoryAddresses {
-			out = append(out, b.CallerAddr)
+		if b.Ready && !b.Leaving {
+			nodes = append(nodes, entry.Node{Name: b.Node, Addr: b.CallerAddr, Capacity: float64(b.Cores)})
 		}
 	}
-	return out
+	return entry.Select(nodes, domain, maxDirectoryAddresses)
 }
 
 func (n *Node) directoryHandler() http.Handler {
@@ -43,7 +44,7 @@
 			http.NotFound(w, r)
 			return
 		}
-		addresses := callerAddresses(n.settings.CallerAddr, n.serves(), n.peers.alive(time.Now()))
+		addresses := n.callerAddresses(r.URL.Query().Get(n.names.DomainParameter), n.peers.alive(time.Now()))
 		if len(addresses) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/internal/edge/interfaces.go
+++ b/internal/edge/interfaces.go
@@ -46,4 +46,6 @@
 type Names struct {
 	OperatorTable, ConfigKey, ServerTable string
 	ReadyPath, DirectoryPath              string
+	// DomainParameter is the query parameter in which callers send their failure domain to DirectoryPath.
+	DomainParameter string
 }
