edge: a large configuration reaches all nodes over slow links

Change: configurations over 32 KB are read from the store while it answers. Otherwise, and if the store has an older one, a node sends its view to two others at a time, compressed, and refuses the rest at once; a fetch ends when nothing arrives any more rather than after a fixed time.

--- a/internal/edge/configview.go
+++ b/internal/edge/configview.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 
@@ -29,8 +30,9 @@
 	awaitSettled func(ctx context.Context) (held bool, err error)
 
 	current    atomic.Pointer[serving.Config]
-	mu         sync.Mutex // guards raw and updates of current
+	mu         sync.Mutex // guards raw, compressed and updates of current
 	raw        []byte
+	compressed []byte // raw as sent to other nodes; nil until one has asked for it
 	invalidRow uint64 // version of the last unreadable row, so that it is logged once
 }
 
@@ -45,11 +47,45 @@
 	return 0
 }
 
-// Raw returns the configuration as encoded in the store, for other nodes.
-func (v *configView) Raw() []byte {
+// size returns the size of the configuration as encoded in the store, in bytes.
+func (v *configView) size() uint32 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.raw
+	return uint32(len(v.raw))
+}
+
+// export returns the configuration as encoded in the store, compressed, for other nodes; nil without one.
+func (v *configView) export() ([]byte, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.compressed == nil && v.raw != nil {
+		compressed, err := compress(v.raw)
+		if err != nil {
+			return nil, err
+		}
+		v.compressed = compressed
+	}
+	return v.compressed, nil
+}
+
+// errOlderConfig means that the store has an older configuration than a peer: it has returned from a copy.
+var errOlderConfig = errors.New("the store has an older configuration than a peer")
+
+// readStore reads a configuration of at least the given version from the store.
+func (v *configView) readStore(ctx context.Context, version uint64) error {
+	row, err := v.store.Get(ctx, v.names.OperatorTable, v.names.ConfigKey)
+	if err != nil {
+		return err
+	}
+	c, err := v.records.Config(row.Value)
+	if err != nil {
+		return err
+	}
+	if c.Version < version {
+		return errOlderConfig
+	}
+	v.putInForce(c, row.Value, "store")
+	return nil
 }
 
 // accept puts a configuration into force if its version is newer.
@@ -58,16 +94,20 @@
 	if err != nil {
 		return err
 	}
+	v.putInForce(c, value, source)
+	return nil
+}
+
+func (v *configView) putInForce(c *serving.Config, value []byte, source string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if c.Version <= v.Version() {
-		return nil
+		return
 	}
 	v.log.WithFields(logrus.Fields{"version": c.Version, "before": v.Version(), "source": source}).Info(logline.ConfigInForce)
-	v.raw = value
+	v.raw, v.compressed = value, nil
 	v.onChange(c)
 	v.current.Store(c)
-	return nil
 }
 
 // watch reads the configuration and, while this node is selected as a store reader, waits for changes, until ctx ends.
--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -20,6 +20,7 @@
 		Ready: n.viewsLoaded(), Leaving: n.stopping.Load(), ConfigVersion: n.config.Version(), Servers: n.servers.state(now),
 		HoldsDuties: n.holdsDuties.Load(), StoreLost: n.peers.readers.lost.Load() > 0,
 		Changes: n.servers.heartbeatChanges(n.peers.heartbeatInterval(), now), NewsOnly: true, StoreEra: era, Cores: float32(n.settings.Cores),
+		ConfigBytes: n.config.size(),
 	}
 }
 
