soak: a server that drains does not set its sequence back

Cause: the environment wrote the draining row with sequence 2 after rows with higher ones, which nodes ignore as older.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -201,7 +201,7 @@
 func (f *injector) drain(time.Duration) {
 	i := f.rng.IntN(len(f.env.servers))
 	f.env.addServer(f.env.servers[i].Events == 0)
-	f.env.register(i, "draining", 2)
+	f.env.drain(i)
 }
 
 func (f *injector) configure(time.Duration) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -140,6 +140,14 @@
 	env.writeRow(i)
 }
 
+// drain makes a server write that it is draining.
+func (env *testEnv) drain(i int) {
+	env.rowsMu.Lock()
+	defer env.rowsMu.Unlock()
+	env.rows[i] = serverRow{"draining", env.rows[i].sequence + 1}
+	env.writeRow(i)
+}
+
 // beat makes all servers write their rows again. The caller must not hold rowsMu.
 func (env *testEnv) beat() {
 	env.rowsMu.Lock()
