edge: a node that was paused reads its views before it serves again

Change: the first request or tick after a pause of more than 1 s, by the monotonic or the wall clock, has configuration and servers read from the store; requests wait for it, 600 ms at most.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -85,6 +86,7 @@
 	// quarantined keeps the decisions of crashes in the store.
 	quarantined *quarantineRows
 	storeReturn *storeReturn
+	pauses      *pauseGuard
 	// finalUsage holds the usage counts that this node has made final, also those of its earlier terms.
 	finalUsage *finalUsage
 	demand     *demandMeter
@@ -128,6 +130,7 @@
 	n.finalUsage = &finalUsage{store: o.Store, log: o.Log, window: o.Settings.UsageWindow, counts: map[int64]map[string]int64{}}
 	n.storeReturn = &storeReturn{store: o.Store, log: o.Log, metrics: o.Metrics, readers: readers, settled: make(chan struct{}),
 		returned: n.announceReturn, rewrite: n.rewriteRows}
+	n.pauses = newPauseGuard(o.Log, n.refreshViews)
 	n.config.awaitSettled, n.servers.awaitSettled = n.storeReturn.awaitSettled, n.storeReturn.awaitSettled
 	n.quarantined = &quarantineRows{store: o.Store, list: o.Store.Snapshot, tracker: n.crashes.tracker, loaded: n.crashes.resendRestrictions, log: o.Log,
 		isWriter: func() bool { return readers.lost.Load() == 0 && n.peers.readerRank() == 0 }, stored: map[string]strike.Record{}}
@@ -151,7 +154,7 @@
 	}
 	var work sync.WaitGroup
 	for _, run := range []func(context.Context){n.config.watch, n.servers.watch, n.peers.run, n.peers.register,
-		n.crashes.run, n.callers.run, n.logSummaries, n.estimateUnreported} {
+		n.crashes.run, n.callers.run, n.logSummaries, n.estimateUnreported, n.pauses.run} {
 		work.Go(func() { run(background) })
 	}
 	work.Go(func() { n.quarantined.run(background, n.settings.FirstStart) })
@@ -265,6 +268,16 @@
 	n.log.WithFields(logrus.Fields{"era": era, "rows": written}).Info(logline.RowsWrittenAgain)
 }
 
+// refreshViews reads the configuration and the servers from the store.
+func (n *Node) refreshViews(ctx context.Context) error {
+	if !n.viewsLoaded() {
+		return nil // the first read is in progress
+	}
+	config := make(chan error, 1)
+	go func() { config <- n.config.readStore(ctx, 0) }()
+	return errors.Join(n.servers.read(ctx), <-config)
+}
+
 // configChanged sets the quota limits of a configuration before it is in force.
 func (n *Node) configChanged(c *serving.Config) {
 	limits := make([]quota.Limit, 0, len(c.Workspaces))
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -91,6 +91,7 @@
 // prepare finds the route, checks the API key and reads the body.
 func (n *Node) prepare(req *request) *code.Error {
 	n.awaitViews(req.http.Context())
+	n.pauses.await(req.http.Context())
 	c := n.config.Load()
 	if c == nil {
 		return code.New(code.NoConfiguration, "this node has no configuration yet").WithRetryAfter(configRetryAfter)
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -10,7 +10,7 @@
 // timelineMessages are the messages that appear in a timeline. Each one marks a change of a node's state or of its view
 // of the system.
 var timelineMessages = []string{
-	logline.NodeStarted, logline.NodeDraining, logline.NodeStopped, logline.NodeDiscovered, logline.RequestsCutOff,
+	logline.NodeStarted, logline.NodeDraining, logline.NodeStopped, logline.NodeDiscovered, logline.NodePaused, logline.RequestsCutOff,
 	logline.ConfigInForce, logline.ConfigRowUnreadable, logline.ServerChanged, logline.ServerGone, logline.ServerRowVanished,
 	logline.CrashRecord, logline.DutiesAcquired, logline.DutiesEnded, logline.ServersOrdered, logline.OrderRefused,
 	logline.UsageReported, logline.DependencyLost, logline.DependencyRegained, logline.StoreReturned, logline.StoreSettled,
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -26,6 +26,7 @@
 	UsageReported       = "usage reported"
 	RequestsCutOff      = "requests cut off at the end of the grace"
 	NodeDiscovered      = "node heard of"
+	NodePaused          = "the process was paused; reading views again"
 	StoreReturned       = "store returned from a copy; what it acknowledged last is lost"
 	StoreSettled        = "return of the store settled"
 	RowsWrittenAgain    = "rows lost by the store written again"
