--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -48,6 +48,16 @@
 	d.requests++
 }
 
+// observedFor returns how long ago the first request arrived at this node, or 0 before it.
+func (m *demandMeter) observedFor(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.firstRequestAt.IsZero() {
+		return 0
+	}
+	return now.Sub(m.firstRequestAt)
+}
+
 func (m *demandMeter) decay(now time.Time) {
 	factor := math.Exp(-float64(now.Sub(m.decayedAt)) / float64(demandTimeConstant))
 	m.decayedAt = now
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -73,7 +73,7 @@
 	}
 	in.Idle = h.loadSince.IsZero() && h.n.settings.FirstStart
 	in.Load, in.Peak = smoother.Observe(load, now)
-	in.Known = !h.loadSince.IsZero() && (now.Sub(h.loadSince) > loadSettleTime || now.Sub(h.n.started) > startupPeriod)
+	in.Known = !h.loadSince.IsZero() && h.n.demand.observedFor(now) > loadSettleTime
 	return in
 }
 
