configstore: restore the accepted row after a return of the table service

Cause: the folder is not accepted again while its revision is in force, so a row that the copy lacks stayed lost, and a node that started then could put the copy's version into force before its peers answered.

Change: readers of the folder write the version in force again when the table service has returned; a starting node that finds a row of a later era waits for its peers' answers first.

Measured: TestReturnOfTheTable; before, the row still had version 1 of 2 after 40 s.

--- a/pkg/configstore/accept.go
+++ b/pkg/configstore/accept.go
@@ -122,6 +122,29 @@
 	return errors.New("other readers replaced the row at each try")
 }
 
+// restoreRow writes the version in force if the row has an older one, or none.
+func (s *Store) restoreRow(ctx context.Context) error {
+	current := s.Current()
+	if current == nil {
+		return nil
+	}
+	row, err := s.readRow(ctx)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return fmt.Errorf("read row: %w", err)
+	}
+	if row.value.GetVersion() >= current.Version {
+		return nil
+	}
+	accepted := &pb.AcceptedVersion{Version: current.Version, FolderRevision: current.FolderRevision, Digest: current.Digest}
+	written, err := s.writeRow(ctx, row, accepted)
+	if err != nil {
+		return fmt.Errorf("write row: %w", err)
+	}
+	s.recordRow(observedRow{written, accepted})
+	s.log("msg", "row restored after a return of the table service from a copy", "version", accepted.Version, "row_before", row.value.GetVersion())
+	return nil
+}
+
 // writeRow replaces the row if it is still the one that was read. A write with an unknown outcome is retried with the
 // same condition, so that only one of the attempts can succeed.
 func (s *Store) writeRow(ctx context.Context, read observedRow, accepted *pb.AcceptedVersion) (uint64, error) {
--- a/pkg/configstore/run.go
+++ b/pkg/configstore/run.go
@@ -15,9 +15,37 @@
 	wg.Go(func() { s.watchFolder(ctx) })
 	wg.Go(func() { s.watchRow(ctx) })
 	wg.Go(func() { s.watchAnnouncements(ctx) })
+	wg.Go(func() { s.watchEra(ctx) })
 	wg.Wait()
 }
 
+// watchEra restores the row whenever the table service has returned from a copy (see package platform), while this node
+// is one of the readers of the folder. The copy may lack the newest accepted version, and the folder is not accepted
+// again while its revision is in force.
+func (s *Store) watchEra(ctx context.Context) {
+	seen, _ := s.o.Table.Era()
+	for {
+		era, changed := s.o.Table.Era()
+		if era == seen {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+			continue
+		}
+		seen = era
+		for failures := 0; s.o.Leader(); {
+			if failures = s.recordOutcome("restore row", s.restoreRow(ctx), failures); failures == 0 {
+				break
+			}
+			if !clock.Sleep(ctx, s.backoff(failures-1)) {
+				return
+			}
+		}
+	}
+}
+
 // watchFolder reads the folder periodically while this node is one of its readers. It backs off after failures.
 func (s *Store) watchFolder(ctx context.Context) {
 	failures := 0
@@ -57,8 +85,15 @@
 func (s *Store) bootstrap(ctx context.Context) bool {
 	for attempt := 0; ; attempt++ {
 		var wg sync.WaitGroup
-		wg.Go(func() { s.queryPeers(ctx, startupPeers) })
+		peersAsked := make(chan struct{})
 		wg.Go(func() {
+			defer close(peersAsked)
+			s.queryPeers(ctx, startupPeers)
+		})
+		wg.Go(func() {
+			if row, err := s.readRow(ctx); err == nil && platform.EraOf(row.version) > 0 {
+				<-peersAsked // the row may be that of a copy; a peer may know a newer version
+			}
 			if err := s.refresh(ctx); err != nil && !errors.Is(err, platform.ErrNotFound) {
 				s.recordFailure("refresh configuration", err)
 			}
--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -505,3 +505,44 @@
 }
 
 var _ platform.Folder = (*folderView)(nil)
+
+// Guards against an accepted version that stays lost after the table service has returned from a copy, and against nodes
+// that start then and put the version of the copy into force although another node knows a newer one.
+func TestReturnOfTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newCluster(3, 4) // its rows are not observed, since they go back
+		c.start(ctx)
+		c.folder.edit(true)
+		time.Sleep(10 * time.Second)
+		c.folder.edit(true)
+		time.Sleep(5 * time.Second)
+		row, err := readRow(c.table)
+		assert.NilError(t, err)
+		assert.Equal(t, row.Version, uint64(2))
+		starting := c.nodes[3]
+		starting.stop()
+		c.table.ReturnFromCopy(8 * time.Second)
+		row, err = readRow(c.table)
+		assert.NilError(t, err)
+		assert.Equal(t, row.Version, uint64(1), "the copy is not old enough")
+		starting.start(ctx, false)
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			assert.Assert(t, starting.version() != 1, "the version of the copy is in force")
+		}
+		assert.Equal(t, starting.version(), uint64(2))
+		time.Sleep(40 * time.Second)
+		row, err = readRow(c.table)
+		assert.NilError(t, err)
+		assert.Equal(t, row.Version, uint64(2), "the row is not restored")
+		c.folder.edit(true)
+		time.Sleep(5 * time.Second)
+		for _, n := range c.nodes {
+			assert.Equal(t, n.version(), uint64(3))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
