claim: a call that ran does not run again after a return of the table service

Cause: the row that guards a call is lost if the copy is older, and the next resend finds no claim (TestCallDoesNotRunAgainAfterAReturnOfTheTable on the claims of: "done has run again").

Change: nodes remember the rows of the last minute and write them again when they notice a return; they claim nothing for 2.5 s after that, and a claim that was confirmed in a later era than its call began in is not sent. A node with such rows that makes no other call asks for the era once a second.

Lost for good: the rows of a node that ends around the return. A resend of such a call can run again; nothing but the service could tell.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -426,6 +426,7 @@
 		n.tracker.Run,
 		n.replicator.Run,
 		func(ctx context.Context) { n.loads.run(ctx, n.tracker.List) },
+		n.claims.Run,
 		n.expireResponses,
 		n.exchangeDemand,
 		n.exchangeModelDemand,
--- a/pkg/claim/attempt.go
+++ b/pkg/claim/attempt.go
@@ -35,6 +35,8 @@
 	written bool
 	// uncertain is set when such a write used the current condition, so that it may itself be the cause of a conflict.
 	uncertain bool
+	// era is the era of the table service in which the attempt began, once the service has answered this node.
+	era uint64
 	// replaced counts the conditions that were derived from rows of other attempts.
 	replaced int
 }
@@ -74,6 +76,7 @@
 // attempt returns the background write that ends the attempt, or nil when there is nothing to write.
 func (c *Claims) attempt(ctx context.Context, e *entry, call Call, send Send) *backgroundWrite {
 	st := &claimState{e: e, call: call, row: c.row(e, pb.ClaimRow_DISPATCHED, nil)}
+	st.era, _ = c.o.Table.Era()
 	d := c.claim(ctx, st)
 	if d.kind == resolved {
 		return c.endUnsent(st, d)
@@ -134,6 +137,9 @@
 		switch {
 		case err == nil:
 			st.written = true
+			if platform.EraOf(version) != st.era && c.heldFor() > 0 {
+				return decision{kind: resolved, err: c.errReturned(returnHold)}
+			}
 			return decision{kind: confirmed, version: version}
 		case errors.Is(err, errConflict):
 			if !st.uncertain {
@@ -324,6 +330,7 @@
 		return false
 	}
 	st.e.phase = running
+	c.remember(st.e.key, st.row)
 	return true
 }
 
--- a/pkg/claim/background.go
+++ b/pkg/claim/background.go
@@ -84,6 +84,11 @@
 }
 
 func (w *backgroundWrite) end() {
+	if w.state == pb.ClaimRow_DONE {
+		w.c.remember(w.key, w.value)
+	} else {
+		w.c.forget(w.key)
+	}
 	w.finish()
 	w.c.background.done()
 	w.c.open.done()
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -22,6 +22,11 @@
 // row, from the node that holds the attempt or from the service, or else ran:"unknown". Only a positive reply of the
 // service counts, because the call can still reach the service after the query.
 //
+// # Returns of the table service
+//
+// After a return of the table service from a copy, nodes write the rows of the last minute again and claim nothing for a
+// while; see era.go. A claim that was confirmed in a later era than the call began in is not sent.
+//
 // # Retention
 //
 // A row expires Options.Retention after it was written. Expired rows may be replaced or purged, in any state; a
@@ -200,12 +205,13 @@
 	// purgeAfter is the key after which Purge continues, or empty for the start of the table.
 	purgeMu    sync.Mutex
 	purgeAfter string
+	returns    returns
 }
 
 // New returns Claims with the given options; zero values of optional fields give the defaults.
 func New(o Options) *Claims {
 	o.setDefaults()
-	c := &Claims{o: o}
+	c := &Claims{o: o, returns: returns{rows: map[string]recentRow{}}}
 	c.retention.Store(int64(o.Retention))
 	c.group = &groupCommitter{table: o.Table, wait: o.GroupWait, rows: o.GroupRows, timeout: o.StoreTimeout}
 	for i := range c.shards {
@@ -248,6 +254,7 @@
 
 // join adds a caller to the attempt for the key, or creates the attempt.
 func (c *Claims) join(call Call) (e *entry, created bool, refusal error) {
+	held := c.heldFor()
 	key := rowKey(call.Workspace, call.Key)
 	s := c.shard(key)
 	s.mu.Lock()
@@ -264,6 +271,9 @@
 		e.waiters++
 		return e, false, nil
 	}
+	if held > 0 {
+		return nil, false, c.errReturned(held)
+	}
 	if !c.open.tryAdd(c.o.MaxOpen) {
 		return nil, false, code.New(code.ClaimStoreUnavailable, "too many calls wait for the table service").WithRetryAfter(c.o.RetryAfter)
 	}
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -387,3 +387,42 @@
 		assert.Assert(t, after.Commits-before.Commits <= 4, "%d commits", after.Commits-before.Commits)
 	})
 }
+
+// Guards against a call that runs again because the table service has returned from a copy without its row: one that is
+// done, and one that is running when the service returns.
+func TestCallDoesNotRunAgainAfterAReturnOfTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(1, 3)
+		for _, n := range c.nodes {
+			go n.Run(ctx)
+		}
+		holder, other := c.nodes[0], c.nodes[1]
+		want, _, err := c.do(ctx, holder, "done", 1, behaviour{})
+		assert.NilError(t, err)
+		go func() { _, _, _ = c.do(ctx, holder, "running", 1, behaviour{delay: 4 * time.Second}) }()
+		time.Sleep(2 * time.Second)
+		c.table.ReturnFromCopy(30 * time.Second)
+		for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for _, key := range []string{"done", "running"} {
+				_, _, err := c.do(ctx, other, key, 1, behaviour{})
+				var e *code.Error
+				if errors.As(err, &e) {
+					assert.Assert(t, e.Ran != code.RanNo || e.RetryAfter > 0, "%s: %v", key, err)
+				}
+				assert.Assert(t, c.service.runsOf(key) <= 1, "%s has run again", key)
+			}
+		}
+		got, _, err := c.do(ctx, other, "done", 1, behaviour{})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want)
+		_, _, err = c.do(ctx, other, "running", 1, behaviour{})
+		assert.NilError(t, err)
+		assert.Equal(t, c.service.runsOf("running"), 1)
+		// Calls that are new are claimed again.
+		_, _, err = c.do(ctx, other, "new", 1, behaviour{})
+		assert.NilError(t, err)
+		cancel()
+		c.endHangingCalls()
+	})
+}
