--- a/internal/edge/storereturn_test.go
+++ b/internal/edge/storereturn_test.go
@@ -316,3 +316,27 @@
 	assert.Equal(t, len(seen[logline.StoreSettled]), 1)
 	_ = one
 }
+
+// Guards against nodes that all call the store at once when it has returned: it serves 400 writes and 2000 reads a second
+// for all of them.
+func TestStoreCallsAfterAReturn(t *testing.T) {
+	t.Parallel()
+	const nodes, maxCallsPerSecond = 8, 400
+	d := newDeployment(t)
+	d.configure()
+	d.serve("desk-1", "desk", 0)
+	d.copyStore()
+	for range nodes {
+		d.startNode()
+	}
+	time.Sleep(4 * time.Second)
+	d.returnFromCopy()
+	var perSecond []int
+	for range 10 {
+		before := d.store.Calls()
+		time.Sleep(time.Second)
+		perSecond = append(perSecond, d.store.Calls()-before)
+		assert.Assert(t, perSecond[len(perSecond)-1] <= maxCallsPerSecond, "%v", perSecond)
+	}
+	t.Logf("calls in each second after the return: %v", perSecond)
+}
