--- a/internal/bench/faultscenarios.go
+++ b/internal/bench/faultscenarios.go
@@ -62,6 +62,34 @@
 	return report, nil
 }
 
+// storeReturn makes the store return from copies of several ages, as after a failure, while callers also resend calls that
+// must run once.
+func storeReturn(ctx context.Context, opts ScenarioOptions) (*Report, error) {
+	tb, err := startTestbed(devcluster.Options{Seed: opts.Seed})
+	if err != nil {
+		return nil, err
+	}
+	defer tb.stop()
+	returnAfter := func(age time.Duration) func(context.Context) error {
+		return func(ctx context.Context) error {
+			_, err := tb.injectFault(ctx, "return-store", devcluster.FaultRequest{AgeMs: int(age.Milliseconds())})
+			return err
+		}
+	}
+	load := tb.loadOptions(Oleaje, faultRate, firstFaultAt+3*faultInterval, opts.Seed)
+	_, report, err := tb.runLoad(ctx, load, []timedFault{
+		{firstFaultAt, returnAfter(3 * time.Second)},
+		{firstFaultAt + faultInterval, returnAfter(10 * time.Second)},
+		{firstFaultAt + 2*faultInterval, returnAfter(time.Second)},
+	})
+	if err != nil {
+		return nil, err
+	}
+	report.Figures["not_accepted"] = float64(report.Requests - report.Accepted)
+	report.Figures["store_refusals"] = float64(report.RefusalTimes[storeUnavailable].Count)
+	return report, nil
+}
+
 // silentConnections makes all open connections of the backend servers stop responding, several times.
 func silentConnections(ctx context.Context, opts ScenarioOptions) (*Report, error) {
 	tb, err := startTestbed(devcluster.Options{Seed: opts.Seed})
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -22,6 +22,7 @@
 var scenarios = map[string]func(context.Context, ScenarioOptions) (*Report, error){
 	"reclaim-wave":       reclaimWave,
 	"store-outage":       storeOutage,
+	"store-return":       storeReturn,
 	"poison":             poison,
 	"silent-connections": silentConnections,
 	"config-race":        configRace,
--- a/internal/devcluster/faults.go
+++ b/internal/devcluster/faults.go
@@ -39,6 +39,8 @@
 	StalePercent int    `json:"stale_percent,omitempty"`
 	StaleMs      int    `json:"stale_ms,omitempty"`
 	SlowMs       int    `json:"slow_ms,omitempty"`
+	// AgeMs is the age of the copy from which the store returns, in milliseconds.
+	AgeMs int `json:"age_ms,omitempty"`
 	// DropPercent makes services close connections after a call has run.
 	DropPercent int `json:"drop_percent,omitempty"`
 	// File and Content edit the operators' folder; empty content removes the file.
@@ -69,6 +71,7 @@
 		"silence":       s.eachServer(func(b backendServer) { b.Net().StallOpenConns() }),
 		"poison":        s.faultPoison,
 		"store":         s.faultStore,
+		"return-store":  s.faultReturnStore,
 		"drop-answers":  s.faultDrop,
 		"refuse-starts": s.faultRefuse,
 		"kill-node":     s.faultKillNode,
@@ -135,6 +138,11 @@
 	return affected{s.Platform.Cloud.Reclaim(notice, req.Instances...)}
 }
 
+func (s *Standins) faultReturnStore(req FaultRequest) any {
+	s.Platform.Table.ReturnFromCopy(time.Duration(req.AgeMs) * time.Millisecond)
+	return affected{}
+}
+
 func (s *Standins) faultPoison(req FaultRequest) any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
