--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,17 @@
 	return func(*http.Request) standin.Behavior { return b }
 }
 
+// onlyFirst returns b for the first request and the default behavior for the others.
+func onlyFirst(b standin.Behavior) func(*http.Request) standin.Behavior {
+	var done atomic.Bool
+	return func(*http.Request) standin.Behavior {
+		if done.Swap(true) {
+			return standin.Behavior{}
+		}
+		return b
+	}
+}
+
 // Guards against headers that are lost, rewritten or forged on the way, and against a normalized request target.
 func TestRequestAndAnswerPassUnchanged(t *testing.T) {
 	t.Parallel()
@@ -149,14 +161,7 @@
 			d.configure()
 			one, two := d.serve("engine-1", "engine", 9), d.serve("engine-2", "engine", 9)
 			n := d.node()
-			first := true
-			breakFirst := func(*http.Request) standin.Behavior {
-				if first {
-					first = false
-					return b
-				}
-				return standin.Behavior{}
-			}
+			breakFirst := onlyFirst(b)
 			one.SetBehavior(breakFirst)
 			two.SetBehavior(breakFirst)
 			got := n.do(t, call{path: "/quote/1"})
@@ -307,14 +312,7 @@
 	trickling := standin.Behavior{StallAfter: 3, Trickle: 100 * time.Millisecond}
 	one, two := d.serve("engine-1", "engine", 9), d.serve("engine-2", "engine", 9)
 	n := d.node()
-	first := true
-	trickleFirst := func(*http.Request) standin.Behavior {
-		if first {
-			first = false
-			return trickling
-		}
-		return standin.Behavior{}
-	}
+	trickleFirst := onlyFirst(trickling)
 	one.SetBehavior(trickleFirst)
 	two.SetBehavior(trickleFirst)
 	got := n.do(t, call{path: "/quote/1"})
