edge: the endless server of the tests names the request that it answers

TestEndlessBodyEndsAtTheDeadline was wrong since signed answers must name their request: its server did not, so the node refused the answer (502) before the body. The server echoes the id now, as all servers do; the checks are the same.

--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -28,11 +29,13 @@
 			}
 			go func() {
 				defer conn.Close()
-				if _, err := conn.Read(make([]byte, 1)); err != nil { // wait for the request
+				reader := bufio.NewReader(conn)
+				request, err := http.ReadRequest(reader)
+				if err != nil {
 					return
 				}
-				go func() { _, _ = io.Copy(io.Discard, conn) }() // the rest of it
-				_, err := io.WriteString(conn, start)
+				go func() { _, _ = io.Copy(io.Discard, reader) }() // its body
+				_, err = io.WriteString(conn, strings.Replace(start, "ATTEMPT", request.Header.Get("Pollenlug-Attempt-Id"), 1))
 				for err == nil {
 					_, err = io.WriteString(conn, block)
 				}
@@ -48,7 +51,8 @@
 	return ends
 }
 
-const signedHead = "HTTP/1.1 200 OK\r\nPollenlug-Server-Signature: signed\r\n"
+// signedHead is the begin of a response to the request with the id ATTEMPT.
+const signedHead = "HTTP/1.1 200 OK\r\nPollenlug-Server-Signature: signed\r\nPollenlug-Attempt-Id: ATTEMPT\r\n"
 
 // Guards against requests that fail with a server whose head or events have no end although another server could
 // respond.
