--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -85,7 +85,7 @@
 		reclaimable += d.Reclaimable
 		onDemand += d.Lasting
 	}
-	needed := onDemand + elastic.Needed(reclaimable, len(in.Domains))
+	needed := onDemand + elastic.Needed(reclaimable)
 	inherited := !h.n.settings.FirstStart || now.Sub(h.n.started) > startupPeriod
 	if firstCall && inherited {
 		h.initialServers[service] = needed
--- a/pkg/elastic/elastic.go
+++ b/pkg/elastic/elastic.go
@@ -59,14 +59,9 @@
 	meanUtilization = 0.7
 	// lossUtilization is the planned utilization right after the loss of a domain while reclaimable servers are refused.
 	lossUtilization = 0.9
-	// lostDomains is how many domains may be reclaimed one after the other before their servers have been replaced, and
-	// lossCoverage is the part of the needed servers that is left then: reclaimable servers in reserve cost less than
-	// on-demand ones that are ordered in their place.
-	lostDomains  = 2
-	lossCoverage = 0.85
-	// maxSurplus limits the number of reclaimable servers that are kept for each one needed where there are too few
-	// domains to lose lostDomains of them.
-	maxSurplus = 1.7
+	// reclaimableFactor is the number of reclaimable servers that are kept for each one needed: having enough left after
+	// the loss of two domains out of four costs less than ordering on-demand servers in their place.
+	reclaimableFactor = 1.7
 	// unknownLoadFactor is the planned peak as a multiple of Initial while the load is not known: callers arrive all at
 	// once, and none of their prompts are cached.
 	unknownLoadFactor = 1.2
@@ -77,19 +72,9 @@
 	idleOnDemand = 2
 )
 
-// surplus returns the number of reclaimable servers that are kept for each one needed, spread evenly over the domains.
-// The more domains there are, the smaller is the part that is lost with some of them.
-func surplus(domains int) float64 {
-	if domains <= lostDomains {
-		return maxSurplus
-	}
-	return min(maxSurplus, lossCoverage*float64(domains)/float64(domains-lostDomains))
-}
-
-// Needed returns the number of needed servers for which a plan keeps the given number of reclaimable ones in a number of
-// domains.
-func Needed(reclaimable, domains int) int {
-	return int(math.Round(float64(reclaimable) / surplus(domains)))
+// Needed returns the number of needed servers for which a plan keeps the given number of reclaimable ones.
+func Needed(reclaimable int) int {
+	return int(math.Round(float64(reclaimable) / reclaimableFactor))
 }
 
 // Counts holds the planned numbers of reclaimable and on-demand (Lasting) servers of a domain.
@@ -155,7 +140,7 @@
 			accepting++
 		}
 	}
-	total := int(math.Ceil(float64(needed) * surplus(len(in.Domains))))
+	total := int(math.Ceil(float64(needed) * reclaimableFactor))
 	perDomain := 0
 	if accepting > 0 {
 		perDomain = max(0, (total-kept+accepting-1)/accepting)
