edge: two tests that raced with the node's next step

TestNodeRowsAreWrittenAgainAndLogged read the log right after the row of the era was written; the line follows the confirmed write. TestPeersPassOnWhatTheStoreDoesNot asked the first node for its list before the second node's next heartbeat, which comes after 100 to 200 ms, could tell that it is ready. Both wait for it now, a second at most; what they check is the same.

--- a/internal/edge/storereturn_test.go
+++ b/internal/edge/storereturn_test.go
@@ -302,17 +302,20 @@
 	assert.Equal(t, len(d.store.Keys("nodes")), 0)
 	eventually(t, 2500*time.Millisecond, "the rows are missing", func() bool { return len(d.store.Keys("nodes")) == 2 })
 	eventually(t, 4*time.Second, "the return does not settle", func() bool { return len(d.store.Keys("era")) == 1 })
-	seen := map[string]map[string]bool{}
-	for _, line := range d.logs.read(t).Lines {
-		if seen[line.Message] == nil {
-			seen[line.Message] = map[string]bool{}
+	// loggedBy returns how many nodes have logged a message.
+	loggedBy := func(message string) int {
+		nodes := map[string]bool{}
+		for _, line := range d.logs.read(t).Lines {
+			if line.Message == message {
+				nodes[line.Node] = true
+			}
 		}
-		seen[line.Message][line.Node] = true
+		return len(nodes)
 	}
 	for _, message := range []string{logline.StoreReturned, logline.RowsWrittenAgain} {
-		assert.Equal(t, len(seen[message]), 2, message)
+		assert.Equal(t, loggedBy(message), 2, message)
 	}
-	assert.Equal(t, len(seen[logline.StoreSettled]), 1)
+	eventually(t, time.Second, "the log does not tell that the return has settled", func() bool { return loggedBy(logline.StoreSettled) == 1 })
 	_ = one
 }
 
--- a/internal/edge/views_test.go
+++ b/internal/edge/views_test.go
@@ -73,7 +73,7 @@
 	eventually(t, 2*time.Second, "the new route is not served", func() bool {
 		return two.do(t, call{method: http.MethodGet, path: "/new/1"}).status == 200
 	})
-	assert.Equal(t, len(directory(t, one)), 2)
+	eventually(t, time.Second, "the second node is not listed", func() bool { return len(directory(t, one)) == 2 })
 }
 
 // Guards against requests to a server that has announced its draining, also if an older row of it arrives late.
