strike, edge: tests of requests that crash all servers of a service together, which fail

Two or three requests crash all servers of a small service at nearly the same time, and come again when the servers return at the same addresses under new ids. 4 to 6 runs of one of them reach servers later than 3 s after its third crash; the users accept 3.

--- a/pkg/strike/sim_test.go
+++ b/pkg/strike/sim_test.go
@@ -92,6 +92,7 @@
 	sends    int
 	repeated bool
 	waited   time.Duration // since the last send, because it was restricted
+	wave     *waveRequest  // counts its runs; nil for most requests
 }
 
 func newSimulation(size simSize, seed uint64) *simulation {
@@ -172,6 +173,10 @@
 	server.up = false
 	event := Crash{Server: server.id, Domain: server.domain, Started: int64(server.life)}
 	for _, run := range server.runs {
+		if w := run.req.wave; w != nil && !w.lives[server.id] {
+			w.lives[server.id] = true
+			w.crashes = append(w.crashes, s.now)
+		}
 		run.run.End(Interrupted, s.now)
 		s.after(5*time.Millisecond, func() { s.failed(run.req) })
 	}
@@ -210,6 +215,9 @@
 	server.runs = append(server.runs, run)
 	if req.crashes {
 		s.crashingRuns = append(s.crashingRuns, s.now)
+		if req.wave != nil {
+			req.wave.runs = append(req.wave.runs, s.now)
+		}
 		s.after(crashingDelay, func() { s.crash(i) })
 		return
 	}
