strike, edge, node: a request on probation runs on one node at a time

Callers saw a request that crashes its servers run again at each return of the servers, on several of them at once, and their own calls refused meanwhile because a service of four had no server left.

Cause: isolation was per node. A request whose strikes are weakened, because another one crashes servers at the same time, keeps three of them without being quarantined; each node then ran it "alone", and four to eight nodes did so at the same moment.

Change: beyond one full strike a request is on probation. A node announces that it wants to run it (heartbeats; a gossip item at the first door), waits until all nodes know, and runs it if no other has announced it before or has a lower name. Ruled out: quarantine at three weak strikes, which refuses requests that waves of crashes hit, and one node by hash, which refuses the callers that come to the others.

The request line says how long a request waited (restricted_ms), and each trial is logged (verdict tried).

--- a/internal/edge/crashdetector.go
+++ b/internal/edge/crashdetector.go
@@ -58,9 +58,10 @@
 	sends     int // since updatedAt
 }
 
-func newCrashDetector(m *metrics.Set, log *logrus.Entry) *crashDetector {
+func newCrashDetector(node string, m *metrics.Set, log *logrus.Entry) *crashDetector {
 	return &crashDetector{metrics: m, log: log, servers: map[string]serving.Server{}, lastLogged: map[string]strike.Record{},
-		tracker: strike.New(strike.Options{Window: crashWindow, Delay: crashDelay, Linger: crashLinger, Expiry: crashExpiry, MaxRecords: maxCrashRecords})}
+		tracker: strike.New(strike.Options{Node: node, Window: crashWindow, Delay: crashDelay, Linger: crashLinger,
+			Expiry: crashExpiry, MaxRecords: maxCrashRecords})}
 }
 
 func (d *crashDetector) run(ctx context.Context) {
--- a/internal/edge/crashdetector_test.go
+++ b/internal/edge/crashdetector_test.go
@@ -22,7 +22,7 @@
 	var out bytes.Buffer
 	logger := logrus.New()
 	logger.SetOutput(&out)
-	g := newCrashDetector(metrics.NewSet(), logrus.NewEntry(logger))
+	g := newCrashDetector("node-0", metrics.NewSet(), logrus.NewEntry(logger))
 	now := time.Unix(1000, 0)
 	receive := func(servers ...string) {
 		g.merge([]*pb.CrashRecord{{Digest: "d", Servers: servers}}, now)
@@ -43,7 +43,7 @@
 func TestOldCrashRecordsAreSentInRotation(t *testing.T) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	g := newCrashDetector(metrics.NewSet(), logrus.NewEntry(logger))
+	g := newCrashDetector("node-0", metrics.NewSet(), logrus.NewEntry(logger))
 	now := time.Unix(1000, 0)
 	for i := range 10 {
 		change := strike.Change{Digest: fmt.Sprint(i), Record: strike.Record{Servers: []string{"i-1"}}, ChangedAt: now}
--- a/internal/edge/crashrecords_test.go
+++ b/internal/edge/crashrecords_test.go
@@ -38,7 +38,7 @@
 func (net *detectorNet) restart(i int) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	net.nodes[i] = newCrashDetector(metrics.NewSet(), logrus.NewEntry(logger))
+	net.nodes[i] = newCrashDetector(fmt.Sprint("node-", i), metrics.NewSet(), logrus.NewEntry(logger))
 	for j, other := range net.nodes {
 		if j != i && other != nil {
 			other.resendRestrictions(net.now)
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -77,6 +77,9 @@
 	if req.logDigest {
 		fields[logline.Digest] = req.digest
 	}
+	if req.restrictedFor > 0 {
+		fields["restricted_ms"] = req.restrictedFor.Milliseconds()
+	}
 	if req.reason != "" {
 		fields[logline.Reason] = req.reason
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -112,7 +112,7 @@
 }
 
 // startRun picks a server and registers the run with the crash tracker. A request that is held, or of which an isolated
-// run is in flight, waits for at most maxRestrictedWait.
+// run is in flight here or a trial on another node, waits for at most maxRestrictedWait.
 func (n *Node) startRun(ctx context.Context, req *request) (*placement.Ticket, *strike.Run, *code.Error) {
 	waitUntil := time.Now().Add(maxRestrictedWait)
 	if req.deadline.Before(waitUntil) {
@@ -120,7 +120,7 @@
 	}
 	for {
 		now := time.Now()
-		state, wait := n.crashes.tracker.State(req.digest, now)
+		state, wait := n.crashes.tracker.Await(req.digest, now)
 		if state == strike.Quarantined {
 			return nil, nil, n.refuseQuarantined(req)
 		}
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -32,6 +32,9 @@
 	strikeTTL = time.Hour
 	// strikeInterval is how often pending crashes are decided on and changes are published to other nodes.
 	strikeInterval = 250 * time.Millisecond
+	// Trials are published every strikeInterval while there are any; trialTTL ends those of a node that died.
+	trialKeyPrefix = "trial/"
+	trialTTL       = 5 * time.Second
 	// crashProbes is how many times a server whose connection broke is probed, crashProbeInterval the wait between two
 	// probes, crashProbeTimeout the time limit of each. One probe is not enough: the server may still respond for a
 	// moment after the connection breaks.
@@ -55,17 +58,21 @@
 
 	mu      sync.Mutex
 	probing map[string]bool
+
+	// announced is set if the last published trials of this node are not empty. Only run uses it.
+	announced bool
 }
 
 func newGuard(c *cluster, m *metrics.Set) *guard {
 	g := &guard{
 		budget:  limit.NewBudget(config.DefaultRetryPercent),
-		strikes: strike.New(strike.Options{}),
+		strikes: strike.New(strike.Options{Node: c.self.Node}),
 		cluster: c,
 		metrics: m,
 		probing: map[string]bool{},
 	}
 	c.gossip.Watch(strikeKeyPrefix, g.handleStrike)
+	c.gossip.Watch(trialKeyPrefix, g.handleTrials)
 	return g
 }
 
@@ -93,7 +100,7 @@
 
 // State implements generate.Strikes.
 func (g *guard) State(digest string) (strike.State, time.Duration) {
-	return g.strikes.State(digest, time.Now())
+	return g.strikes.Await(digest, time.Now())
 }
 
 // TryStart implements generate.Strikes. If the connection breaks during the run, the server is probed for a crash.
@@ -159,6 +166,26 @@
 		clock.Sleep(ctx, strikeInterval)
 		g.strikes.Tick(time.Now())
 		g.publish()
+		g.publishTrials()
+	}
+}
+
+func (g *guard) publishTrials() {
+	trials := g.strikes.Trials(time.Now())
+	if len(trials) > 0 || g.announced {
+		g.cluster.publish(trialKeyPrefix+g.cluster.self.Node, &pb.Trials{Digests: trials}, trialTTL, true)
+	}
+	g.announced = len(trials) > 0
+}
+
+func (g *guard) handleTrials(item *pb.GossipItem) {
+	var message pb.Trials
+	if err := proto.Unmarshal(item.Value, &message); err != nil {
+		g.cluster.log.WithError(err).WithField("key", item.Key).Warning("decoding trials of a node failed")
+		return
+	}
+	if node := strings.TrimPrefix(item.Key, trialKeyPrefix); node != g.cluster.self.Node {
+		g.strikes.SetPeerTrials(node, message.Digests, time.Now())
 	}
 }
 
--- a/pkg/strike/sim_test.go
+++ b/pkg/strike/sim_test.go
@@ -65,6 +65,8 @@
 	events  int
 	nodes   []*Tracker
 	servers []simServer
+	// announced is when each node last announced a trial.
+	announced map[int]time.Time
 
 	crashingRuns []time.Time // starts of runs of the request that crashes its servers
 	innocent     int         // other requests
@@ -96,10 +98,10 @@
 }
 
 func newSimulation(size simSize, seed uint64) *simulation {
-	s := &simulation{size: size, rng: rand.New(rand.NewPCG(seed, 18)), now: time.Unix(1000, 0)}
-	for range size.nodes {
+	s := &simulation{size: size, rng: rand.New(rand.NewPCG(seed, 18)), now: time.Unix(1000, 0), announced: map[int]time.Time{}}
+	for i := range size.nodes {
 		// The options of internal/edge.
-		s.nodes = append(s.nodes, New(Options{Window: 3 * time.Second, Delay: 1200 * time.Millisecond,
+		s.nodes = append(s.nodes, New(Options{Node: fmt.Sprintf("node-%02d", i), Window: 3 * time.Second, Delay: 1200 * time.Millisecond,
 			Linger: 1500 * time.Millisecond, Expiry: time.Hour, MaxRecords: 512}))
 	}
 	for i := range size.servers {
@@ -155,12 +157,24 @@
 
 func (s *simulation) publish(node int) {
 	s.nodes[node].Tick(s.now)
-	for _, c := range s.nodes[node].Changes() {
-		for other := range s.nodes {
-			if other != node {
-				s.after(s.between(20*time.Millisecond, s.size.gossip), func() { s.nodes[other].Merge(c.Digest, c.Record, s.now) })
-			}
+	changes, trials := s.nodes[node].Changes(), s.nodes[node].Trials(s.now)
+	if len(trials) > 0 {
+		s.announced[node] = s.now
+	}
+	// The end of a trial is sent for some time, since messages overtake each other.
+	if len(changes) == 0 && s.now.Sub(s.announced[node]) > 2*s.size.gossip {
+		return
+	}
+	for other := range s.nodes {
+		if other == node {
+			continue
 		}
+		s.after(s.between(20*time.Millisecond, s.size.gossip), func() {
+			for _, c := range changes {
+				s.nodes[other].Merge(c.Digest, c.Record, s.now)
+			}
+			s.nodes[other].SetPeerTrials(fmt.Sprintf("node-%02d", node), trials, s.now)
+		})
 	}
 }
 
@@ -202,11 +216,15 @@
 	if len(up) == 0 {
 		return
 	}
+	if state, wait := s.nodes[req.node].Await(req.digest, s.now); state >= Held {
+		s.wait(req, state, wait)
+		return
+	}
 	i := up[s.rng.IntN(len(up))]
 	server := &s.servers[i]
 	started, ok := s.nodes[req.node].TryStart(server.id, req.digest, s.now)
 	if !ok {
-		s.wait(req)
+		s.wait(req, Held, simPollInterval)
 		return
 	}
 	req.waited = 0
@@ -230,11 +248,8 @@
 }
 
 // wait sends a request that must not run now again later, unless it is refused.
-func (s *simulation) wait(req *simRequest) {
-	state, wait := s.nodes[req.node].State(req.digest, s.now)
-	if state == Isolate {
-		wait = simPollInterval
-	}
+func (s *simulation) wait(req *simRequest, state State, wait time.Duration) {
+	wait = min(wait, simPollInterval)
 	req.waited += wait
 	if state != Quarantined && req.waited <= simMaxWait {
 		s.after(wait, func() { s.send(req) })
--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -61,6 +61,8 @@
 
 // Options configures a Tracker. Zero values give the defaults.
 type Options struct {
+	// Node is the name of this node. It orders the nodes that want to run the same request; see Await.
+	Node string
 	// Window is the largest time between two crashes that are considered correlated.
 	Window time.Duration
 	// Delay is the time from a crash to the decision on its strikes. It must be longer than gossip needs to reach all
@@ -146,12 +148,13 @@
 type Verdict string
 
 // The verdicts. Weakened means that a strike counts as correlated. Dropped means that no crash was noticed within
-// Options.Linger after the connection of a run broke.
+// Options.Linger after the connection of a run broke. Tried means that a request on probation runs on this node.
 const (
 	Withdrawn  Verdict = "withdrawn"
 	Weakened   Verdict = "weakened"
 	Quarantine Verdict = "quarantined"
 	Dropped    Verdict = "dropped"
+	Tried      Verdict = "tried"
 )
 
 // Reason is why a node decided so.
@@ -165,9 +168,10 @@
 	Ambiguous     Reason = "other requests were running on the same crashed servers"
 	EnoughStrikes Reason = "the strikes of the request suffice"
 	NoCrash       Reason = "no crash of the server was noticed"
+	OnProbation   Reason = "no other node runs this request with several strikes"
 )
 
-// Decision is a decision of this node, for its log.
+// Decision is a decision of this node, for its log. Incident is only a server for Dropped and Tried.
 type Decision struct {
 	Digest, Incident string
 	Verdict          Verdict
@@ -193,6 +197,8 @@
 	crashes     []crash // the last maxCrashes; decided ones for crashRetention
 	changed     map[string]bool
 	decisions   []Decision
+	trials      map[string]trial // of this node, by digest
+	peerTrials  map[string]peerTrials
 }
 
 // Outcome is the way in which a run ended.
@@ -262,6 +268,8 @@
 		interrupted: make(map[string][]*Run),
 		records:     make(map[string]*record),
 		changed:     make(map[string]bool),
+		trials:      make(map[string]trial),
+		peerTrials:  make(map[string]peerTrials),
 	}
 }
 
@@ -272,19 +280,8 @@
 	return t.stateOf(digest, now)
 }
 
-// stateOf weighs the strikes. Interrupted runs count as possible strikes.
 func (t *Tracker) stateOf(digest string, now time.Time) (State, time.Duration) {
-	var least, most int
-	var decided time.Time
-	if r := t.records[digest]; r != nil && now.Sub(r.changedAt) < t.opts.Expiry {
-		least, most, decided = r.weigh(t.pendingTime(), now)
-	}
-	for _, run := range t.interrupted[digest] {
-		if left := run.interruptedAt.Add(t.opts.Linger); left.After(now) {
-			most += fullWeight
-			decided = later(decided, left)
-		}
-	}
+	least, most, decided := t.weigh(digest, now)
 	switch {
 	case least >= quarantineWeight:
 		return Quarantined, 0
@@ -296,6 +293,21 @@
 	return Clear, 0
 }
 
+// weigh returns the least and the most that the strikes of a request may weigh, and when that is decided. Interrupted
+// runs count as possible strikes.
+func (t *Tracker) weigh(digest string, now time.Time) (least, most int, decided time.Time) {
+	if r := t.records[digest]; r != nil && now.Sub(r.changedAt) < t.opts.Expiry {
+		least, most, decided = r.weigh(t.pendingTime(), now)
+	}
+	for _, run := range t.interrupted[digest] {
+		if left := run.interruptedAt.Add(t.opts.Linger); left.After(now) {
+			most += fullWeight
+			decided = later(decided, left)
+		}
+	}
+	return least, most, decided
+}
+
 // pendingTime is how long a strike is pending if no decision is known. The decision of another node is due after
 // Options.Delay and takes a gossip delay to arrive.
 func (t *Tracker) pendingTime() time.Duration { return 2 * t.opts.Delay }
@@ -331,7 +343,8 @@
 }
 
 // TryStart records that a request is in flight on a server. It returns false and records nothing when the request must
-// not run, because it is held or quarantined, or is to run in isolation and is already in flight.
+// not run, because it is held or quarantined, is to run in isolation and is already in flight, or is on probation and this
+// node has no trial.
 func (t *Tracker) TryStart(server, digest string, now time.Time) (*Run, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -339,6 +352,12 @@
 	if state >= Held || state == Isolate && t.inFlight[digest] > 0 {
 		return nil, false
 	}
+	if state == Isolate && t.onProbation(digest, now) {
+		if !t.hasTrial(digest, now) {
+			return nil, false
+		}
+		t.logDecision(Decision{Digest: digest, Incident: server, Verdict: Tried, Reason: OnProbation})
+	}
 	r := &Run{tracker: t, server: server, digest: digest, startedAt: now}
 	if t.running[server] == nil {
 		t.running[server] = make(map[*Run]bool)
@@ -529,6 +548,7 @@
 		return c.decided && now.Sub(c.at) > max(crashRetention, t.opts.Window+t.opts.Delay)
 	})
 	t.expire(now)
+	t.expireTrials(now)
 }
 
 func (t *Tracker) expire(now time.Time) {
