strike: a refused connection does not hide a later crash of the process

So a request could crash servers that had just come back and stay unknown.

Now a report counts as the crash if a run began after the first report and its connection broke: the server was alive then. A server that goes on refusing connections still counts once (TestCrashOfOneProcessCountsOnce), and a run that is only about to be sent gives no strike. The new test fails before: clear instead of quarantined after two such crashes.

--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -439,29 +439,33 @@
 // RecordCrash gives a strike to each request in flight on a crashed server, and returns the number of runs there. Tick
 // decides on the strikes later. The same crash may be reported again, which returns recorded false: if HadNotice or
 // Unreachable is set by then, for example because a reclaim notice became known, its strikes are withdrawn, as long as
-// the crash is among the last maxCrashes and younger than crashRetention.
+// the crash is among the last maxCrashes and younger than crashRetention. If a run began after the first report and its
+// connection broke, the server was alive then, and the report counts as the crash.
 func (t *Tracker) RecordCrash(c Crash, now time.Time) (runs int, recorded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	incident := c.incident()
 	externalCause := c.HadNotice || c.Unreachable
 	for i := range t.crashes {
-		if t.crashes[i].incident == incident {
-			if externalCause {
-				t.withdrawCrash(&t.crashes[i], now)
-			}
+		event := &t.crashes[i]
+		if event.incident != incident {
+			continue
+		}
+		if externalCause {
+			t.withdrawCrash(event, now)
 			return 0, false
 		}
+		if !t.hasInterruptedSince(c.Server, event.at) {
+			return 0, false
+		}
+		event.at, event.decided = now, false
+		return t.strikeRuns(c.Server, event, now), true
 	}
 	event := crash{incident: incident, domain: c.Domain, at: now, decided: externalCause}
-	for r := range t.running[c.Server] {
-		runs++
-		r.leave()
-		if !externalCause && !slices.Contains(event.digests, r.digest) {
-			t.addStrike(r.digest, incident, now)
-			event.digests = append(event.digests, r.digest)
-		}
-		t.removeRun(r)
+	if externalCause {
+		runs = t.endRuns(c.Server)
+	} else {
+		runs = t.strikeRuns(c.Server, &event, now)
 	}
 	if len(t.crashes) >= maxCrashes {
 		t.crashes = t.crashes[1:]
@@ -470,6 +474,37 @@
 	return runs, true
 }
 
+// hasInterruptedSince reports whether the connection of a run on a server broke that began after a time.
+func (t *Tracker) hasInterruptedSince(server string, since time.Time) bool {
+	for r := range t.running[server] {
+		if !r.interruptedAt.IsZero() && r.startedAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// strikeRuns ends the runs on a crashed server, gives their requests a strike and returns their number.
+func (t *Tracker) strikeRuns(server string, event *crash, now time.Time) int {
+	for r := range t.running[server] {
+		if !slices.Contains(event.digests, r.digest) {
+			t.addStrike(r.digest, event.incident, now)
+			event.digests = append(event.digests, r.digest)
+		}
+	}
+	return t.endRuns(server)
+}
+
+// endRuns ends the runs on a crashed server and returns their number.
+func (t *Tracker) endRuns(server string) int {
+	runs := len(t.running[server])
+	for r := range t.running[server] {
+		r.leave()
+		t.removeRun(r)
+	}
+	return runs
+}
+
 func (t *Tracker) withdrawCrash(event *crash, now time.Time) {
 	for _, digest := range event.digests {
 		if r := t.records[digest]; r != nil {
--- a/pkg/strike/strike_test.go
+++ b/pkg/strike/strike_test.go
@@ -301,3 +301,31 @@
 	tc.run(6 * time.Second)
 	assert.Equal(t, tc.state(0, "poison"), Quarantined)
 }
+
+// Guards against a crash that is taken for one noticed before: a server that refuses a connection before it listens is
+// reported as crashed, although it starts to serve afterwards.
+func TestCrashAfterARefusedConnectionOfTheSameProcess(t *testing.T) {
+	tc := newTestCluster(1)
+	for i := range 2 {
+		crash := Crash{Server: fmt.Sprint("s", i), Domain: fmt.Sprint("d", i), Started: 1}
+		tc.reportCrash(crash)
+		tc.run(5 * time.Second)
+		run := startRun(t, tc, 0, crash.Server, "poison")
+		tc.run(100 * time.Millisecond)
+		run.End(Interrupted, tc.now)
+		tc.reportCrash(crash)
+		tc.run(5 * time.Second)
+	}
+	assert.Equal(t, tc.state(0, "poison"), Quarantined)
+}
+
+// Guards against a strike for a request that was about to be sent to a server that is known to have crashed.
+func TestRunOnAServerKnownToHaveCrashedGivesNoStrike(t *testing.T) {
+	tc := newTestCluster(1)
+	crash := Crash{Server: "s", Domain: "d", Started: 1}
+	tc.reportCrash(crash)
+	tc.run(time.Second)
+	startRun(t, tc, 0, "s", "innocent")
+	tc.reportCrash(crash)
+	assert.Equal(t, tc.state(0, "innocent"), Clear)
+}
