edge: a response that breaks off after its first part is no completed run

If its server crashed then, the run counted as completed: it withdrew the strikes of the request, and nobody dialed the server. Now it counts as a broken connection, for the strikes, the outlier ejection and the probe; a caller that leaves does not. The new test fails before: the third call gets 200 instead of 503 after two such crashes.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -217,3 +217,23 @@
 	_, after := record.late()
 	assert.Equal(t, after, before)
 }
+
+// Guards against a strike that is withdrawn because the first part of a large response arrived before its server crashed.
+func TestCrashInTheMiddleOfALargeResponseCounts(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	for i := range 4 {
+		d.serve(fmt.Sprint("desk-", i), "desk", 0).SetBehavior(func(*http.Request) standin.Behavior {
+			return standin.Behavior{Crash: true, HeaderFirst: true, BodySize: 2 << 20}
+		})
+	}
+	n := d.node()
+	for range 2 {
+		got := n.do(t, call{path: "/book/1"})
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Assert(t, got.err != nil, "a response that broke off was passed on as complete")
+		time.Sleep(2 * time.Second) // until the crash has been noticed and decided
+	}
+	assert.Equal(t, n.do(t, call{path: "/book/1"}).status, http.StatusServiceUnavailable)
+}
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -87,11 +87,11 @@
 		}
 	}
 	n.countUsage(req)
-	n.writeResponse(req, response)
+	connLost := n.writeResponse(req, response) && ctx.Err() == nil
 	if req.outcome == "" {
 		req.outcome = logline.Served
 	}
-	return sendResult{status: delivered, completed: resp.StatusCode < http.StatusInternalServerError}
+	return sendResult{status: delivered, completed: !connLost && resp.StatusCode < http.StatusInternalServerError, connLost: connLost}
 }
 
 // checkReply detects responses that cannot be passed to the caller.
@@ -129,8 +129,9 @@
 	return response, nil
 }
 
-// writeResponse sends a response to the caller, and its unread rest as it arrives.
-func (n *Node) writeResponse(req *request, response *bufferedResponse) {
+// writeResponse sends a response to the caller, and its unread rest as it arrives. It reports whether the server broke the
+// response off; the caller's connection is closed then.
+func (n *Node) writeResponse(req *request, response *bufferedResponse) (brokenOff bool) {
 	header := req.w.Header()
 	for name, values := range response.header {
 		header[name] = values
@@ -141,14 +142,31 @@
 	req.w.WriteHeader(response.status)
 	if _, err := req.w.Write(response.body); err != nil {
 		req.outcome, req.reason = "caller_gone", err.Error()
-		return
+		return false
 	}
 	if response.rest == nil {
-		return
+		return false
 	}
 	defer response.rest.Close()
-	if _, err := io.Copy(req.w, response.rest); err != nil {
+	rest := &errorReader{Reader: response.rest}
+	if _, err := io.Copy(req.w, rest); err != nil {
 		req.outcome, req.reason = logline.CutOff, err.Error()
 		n.abort(req)
 	}
+	return rest.err != nil
+}
+
+// errorReader keeps the error of a failed read, which io.Copy does not tell from that of a failed write.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -59,7 +59,8 @@
 	response *bufferedResponse
 	// completed is set if the server completed the request without an error of its own.
 	completed bool
-	// connRefused is set if the server refused the connection, connLost if an established one broke.
+	// connRefused is set if the server refused the connection, connLost if an established one broke, also after the first
+	// part of a delivered response.
 	connRefused, connLost bool
 	// retryReserved is set if a retry has already been taken from the budget.
 	retryReserved bool
@@ -205,6 +206,10 @@
 	now := time.Now()
 	switch result.status {
 	case delivered:
+		if result.connLost {
+			n.recordInterruption(req, result, run, now)
+			break
+		}
 		ticket.End(placement.Served, now)
 		n.outliers.Observe(ticket.Server.ID, true)
 		run.End(runOutcome(result), now)
@@ -216,13 +221,7 @@
 		n.outliers.Observe(ticket.Server.ID, false)
 		run.End(runOutcome(result), now)
 	case responseLost:
-		req.logDigest = true
-		ticket.End(placement.Failed, now)
-		n.outliers.Observe(ticket.Server.ID, false)
-		run.End(strike.Interrupted, now)
-		if result.connLost {
-			n.prober.connLost(ticket.Server)
-		}
+		n.recordInterruption(req, result, run, now)
 	case notSent:
 		ticket.End(placement.Failed, now)
 		n.outliers.Observe(ticket.Server.ID, false)
@@ -238,6 +237,17 @@
 	return result
 }
 
+// recordInterruption records a run that the server did not answer completely.
+func (n *Node) recordInterruption(req *request, result sendResult, run *strike.Run, now time.Time) {
+	req.logDigest = true
+	result.ticket.End(placement.Failed, now)
+	n.outliers.Observe(result.ticket.Server.ID, false)
+	run.End(strike.Interrupted, now)
+	if result.connLost {
+		n.prober.connLost(result.ticket.Server)
+	}
+}
+
 // runOutcome is the outcome of a run that the server answered. Only a completed one shows that the request does not crash
 // its servers; a failing server may answer with an error without running it.
 func runOutcome(result sendResult) strike.Outcome {
