strike, edge, dispatch, generate: a crash after the caller has left gives a strike

A request with impatient callers crashed one server after the other and stayed unknown.

Such a run now ends as disconnected: a crash of the server within the time in which crashes are noticed gives the request a strike, but it is no suspect until then, so that callers who leave restrict nobody. A send of which no byte left the node gives none. Both front doors. The tests fail before: through a node the third call crashes a server (502 instead of 503).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -277,7 +277,9 @@
 		c.end(strike.Abandoned) // a failing server may answer so without running the call
 	case err == nil:
 		c.end(strike.Completed)
-	case ctx.Err() == nil && errors.Is(err, backend.ErrInterrupted):
+	case errors.Is(err, backend.ErrInterrupted) && ctx.Err() != nil:
+		c.end(strike.Disconnected)
+	case errors.Is(err, backend.ErrInterrupted):
 		c.end(strike.Interrupted)
 	default:
 		c.end(strike.Abandoned)
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -237,3 +238,29 @@
 	}
 	assert.Equal(t, n.do(t, call{path: "/book/1"}).status, http.StatusServiceUnavailable)
 }
+
+// Guards against a request that crashes one server after the other because its callers leave just before each crash.
+func TestRequestWhoseCallersLeaveBeforeTheCrashIsRefused(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	for i := range 4 {
+		d.serve(fmt.Sprint("desk-", i), "desk", 0).SetBehavior(func(r *http.Request) standin.Behavior {
+			return standin.Behavior{Crash: r.URL.Path == crashingPath, Gap: 100 * time.Millisecond}
+		})
+	}
+	n := d.node()
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		got := n.do(t, call{method: http.MethodGet, path: crashingPath, ctx: ctx})
+		cancel()
+		assert.Assert(t, got.err != nil)
+		time.Sleep(100 * time.Millisecond)
+		for i := range 8 {
+			// Other traffic runs into the crashed server.
+			n.do(t, call{method: http.MethodGet, path: fmt.Sprint("/look/", i)})
+		}
+		time.Sleep(4 * time.Second) // until the crash is decided, without another one near
+	}
+	assert.Equal(t, n.do(t, call{method: http.MethodGet, path: crashingPath}).status, http.StatusServiceUnavailable)
+}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -62,6 +62,8 @@
 	// connRefused is set if the server refused the connection, connLost if an established one broke, also after the first
 	// part of a delivered response.
 	connRefused, connLost bool
+	// unsent is set if the send was canceled before a byte of the request left this node.
+	unsent bool
 	// retryReserved is set if a retry has already been taken from the budget.
 	retryReserved bool
 }
@@ -232,7 +234,11 @@
 		}
 	case canceled:
 		ticket.End(placement.Abandoned, now)
-		run.End(strike.Abandoned, now)
+		if result.unsent {
+			run.End(strike.Abandoned, now)
+		} else {
+			run.End(strike.Disconnected, now)
+		}
 	}
 	return result
 }
@@ -359,7 +365,7 @@
 func classify(ctx context.Context, err error) sendResult {
 	switch {
 	case ctx.Err() != nil:
-		return sendResult{status: canceled, reason: "stopped"}
+		return sendResult{status: canceled, reason: "stopped", unsent: errors.Is(err, backend.ErrUnreachable)}
 	case errors.Is(err, backend.ErrUnreachable):
 		return sendResult{status: notSent, reason: "unreachable", connRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	default:
--- a/internal/generate/attempt.go
+++ b/internal/generate/attempt.go
@@ -165,7 +165,9 @@
 	switch {
 	case err == nil:
 		return strike.Completed
-	case ctx.Err() == nil && errors.Is(err, backend.ErrInterrupted):
+	case errors.Is(err, backend.ErrInterrupted) && ctx.Err() != nil:
+		return strike.Disconnected
+	case errors.Is(err, backend.ErrInterrupted):
 		return strike.Interrupted
 	default:
 		return strike.Abandoned
--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -189,16 +189,18 @@
 	opts Options
 
 	mu       sync.Mutex
-	running  map[string]map[*Run]bool // by server; interrupted runs included
+	running  map[string]map[*Run]bool // by server; interrupted and disconnected runs included
 	inFlight map[string]int           // by digest
 	// interrupted holds, by digest, the runs whose connection broke and whose server may turn out to have crashed.
-	interrupted map[string][]*Run
-	records     map[string]*record
-	crashes     []crash // the last maxCrashes; decided ones for crashRetention
-	changed     map[string]bool
-	decisions   []Decision
-	trials      map[string]trial // of this node, by digest
-	peerTrials  map[string]peerTrials
+	// disconnected are those whose caller left, oldest first.
+	interrupted  map[string][]*Run
+	disconnected []*Run
+	records      map[string]*record
+	crashes      []crash // the last maxCrashes; decided ones for crashRetention
+	changed      map[string]bool
+	decisions    []Decision
+	trials       map[string]trial // of this node, by digest
+	peerTrials   map[string]peerTrials
 }
 
 // Outcome is the way in which a run ended.
@@ -206,11 +208,13 @@
 
 // The outcomes. Completed withdraws the strikes that the request had when the run started. Interrupted means that the
 // connection broke; a crash of the server within Options.Linger still gives the request a strike, since crashes are
-// often noticed later. Abandoned is any other end, such as a cancellation by the caller or a refusal by the server.
+// often noticed later. Disconnected means that the caller left or its time was over: such a crash gives a strike as well,
+// but the request is no suspect until then. Abandoned is any other end, such as a refusal by the server.
 const (
 	Abandoned Outcome = iota
 	Completed
 	Interrupted
+	Disconnected
 )
 
 // Run is one run of a request on a server.
@@ -218,8 +222,9 @@
 	tracker        *Tracker
 	server, digest string
 	startedAt      time.Time
-	interruptedAt  time.Time
 	ended          bool
+	outcome        Outcome
+	endedAt        time.Time // for Interrupted and Disconnected
 }
 
 type record struct {
@@ -300,7 +305,7 @@
 		least, most, decided = r.weigh(t.pendingTime(), now)
 	}
 	for _, run := range t.interrupted[digest] {
-		if left := run.interruptedAt.Add(t.opts.Linger); left.After(now) {
+		if left := run.endedAt.Add(t.opts.Linger); left.After(now) {
 			most += fullWeight
 			decided = later(decided, left)
 		}
@@ -375,14 +380,17 @@
 	if !r.leave() {
 		return
 	}
-	if outcome == Interrupted {
-		r.interruptedAt = now
+	r.outcome, r.endedAt = outcome, now
+	switch outcome {
+	case Interrupted:
 		t.interrupted[r.digest] = append(t.interrupted[r.digest], r)
-		return
-	}
-	t.removeRun(r)
-	if outcome == Completed {
+	case Disconnected:
+		t.disconnected = append(t.disconnected, r)
+	case Completed:
+		t.removeRun(r)
 		t.withdrawBefore(r.digest, r.startedAt, now)
+	default:
+		t.removeRun(r)
 	}
 }
 
@@ -404,7 +412,7 @@
 	if len(t.running[r.server]) == 0 {
 		delete(t.running, r.server)
 	}
-	if !r.interruptedAt.IsZero() {
+	if r.outcome == Interrupted {
 		left := slices.DeleteFunc(t.interrupted[r.digest], func(other *Run) bool { return other == r })
 		t.interrupted[r.digest] = left
 		if len(left) == 0 {
@@ -477,7 +485,7 @@
 // hasInterruptedSince reports whether the connection of a run on a server broke that began after a time.
 func (t *Tracker) hasInterruptedSince(server string, since time.Time) bool {
 	for r := range t.running[server] {
-		if !r.interruptedAt.IsZero() && r.startedAt.After(since) {
+		if r.outcome == Interrupted && r.startedAt.After(since) {
 			return true
 		}
 	}
@@ -595,12 +603,16 @@
 	}
 	for _, runs := range t.interrupted {
 		for _, r := range slices.Clone(runs) {
-			if now.Sub(r.interruptedAt) >= t.opts.Linger {
+			if now.Sub(r.endedAt) >= t.opts.Linger {
 				t.logDecision(Decision{Digest: r.digest, Incident: r.server, Verdict: Dropped, Reason: NoCrash})
 				t.removeRun(r)
 			}
 		}
 	}
+	for len(t.disconnected) > 0 && now.Sub(t.disconnected[0].endedAt) >= t.opts.Linger {
+		t.removeRun(t.disconnected[0])
+		t.disconnected = t.disconnected[1:]
+	}
 }
 
 func (t *Tracker) decide(event *crash, now time.Time) {
--- a/pkg/strike/strike_test.go
+++ b/pkg/strike/strike_test.go
@@ -329,3 +329,25 @@
 	tc.reportCrash(crash)
 	assert.Equal(t, tc.state(0, "innocent"), Clear)
 }
+
+// Guards against a request that crashes its servers without a strike because its callers leave before the crash, and
+// against one that is restricted although only its caller has left.
+func TestCrashAfterTheCallerLeftGivesAStrike(t *testing.T) {
+	tc := newTestCluster(1)
+	for i := range 2 {
+		crash := Crash{Server: fmt.Sprint("s", i), Domain: fmt.Sprint("d", i), Started: 1}
+		run := startRun(t, tc, 0, crash.Server, "poison")
+		before := tc.state(0, "poison")
+		run.End(Disconnected, tc.now)
+		assert.Equal(t, tc.state(0, "poison"), before)
+		tc.run(200 * time.Millisecond)
+		tc.reportCrash(crash)
+		tc.run(5 * time.Second)
+	}
+	assert.Equal(t, tc.state(0, "poison"), Quarantined)
+	startRun(t, tc, 0, "sound", "other").End(Disconnected, tc.now)
+	tc.run(2 * defaultLinger)
+	tc.reportCrash(Crash{Server: "sound", Domain: "d2", Started: 1})
+	assert.Equal(t, tc.state(0, "other"), Clear)
+	assert.Equal(t, len(tc.nodes[0].running)+len(tc.nodes[0].disconnected), 0)
+}
