edge: TestFailureCausesAreFoundInTheLogs waits for both streams

It explains stream-1 by the failure of stream-2 at the other node, but waited only for the log line of stream-1. A caller sees its connection close before the node writes the line.

--- a/internal/edge/explain_test.go
+++ b/internal/edge/explain_test.go
@@ -46,7 +46,10 @@
 	}{{two, "stream-2"}, {one, "stream-1"}} {
 		assert.Assert(t, c.n.do(t, call{path: "/draft/1", header: attemptHeader(c.id)}).err != nil)
 	}
-	eventually(t, time.Second, "the nodes have not logged the streams", func() bool { return len(d.logs.read(t).Request("stream-1")) == 1 })
+	eventually(t, time.Second, "the nodes have not logged the streams", func() bool {
+		log := d.logs.read(t)
+		return len(log.Request("stream-1")) == 1 && len(log.Request("stream-2")) == 1
+	})
 	cut := explained(t, d, "stream-1")
 	assert.Equal(t, cut.Outcome, "broken_off")
 	assert.Assert(t, strings.Contains(cut.Cause, "engine-1") && strings.Contains(cut.Cause, "not this node"), cut.Cause)
