node: log the decisions on strikes at the first door

Open in docs/incidents/2026-12-04-crashing-request.md: the first door's tracker kept its decisions, and nobody read them, so its log could not say why a request was refused or tried. Both doors now log the same line, with a counter by verdict.

--- a/internal/edge/crashdetector.go
+++ b/internal/edge/crashdetector.go
@@ -75,8 +75,7 @@
 func (d *crashDetector) logDecisions() {
 	for _, decision := range d.tracker.Decisions() {
 		d.metrics.Count("strike_decisions", "verdict", string(decision.Verdict), 1)
-		d.log.WithFields(logrus.Fields{logline.Digest: decision.Digest, logline.Incident: decision.Incident,
-			logline.Verdict: decision.Verdict, logline.Reason: decision.Reason, logline.Related: decision.Related}).Info(logline.StrikeDecision)
+		d.log.WithFields(logline.StrikeFields(decision)).Info(logline.StrikeDecision)
 	}
 }
 
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/metrics"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/pkg/backend"
@@ -167,6 +168,10 @@
 		g.strikes.Tick(time.Now())
 		g.publish()
 		g.publishTrials()
+		for _, decision := range g.strikes.Decisions() {
+			g.metrics.Count("strike_decisions", "verdict", string(decision.Verdict), 1)
+			g.cluster.log.WithFields(logline.StrikeFields(decision)).Info(logline.StrikeDecision)
+		}
 	}
 }
 
--- a/internal/node/trial_test.go
+++ b/internal/node/trial_test.go
@@ -1,13 +1,16 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -45,11 +48,15 @@
 			peers = append(peers, gossip.Peer{Node: name, Region: "local", FailureDomain: name, Addr: name})
 		}
 		net, guards := gossipNet{}, []*guard{}
+		var log bytes.Buffer
+		logger := logrus.New()
+		logger.SetOutput(&log)
+		logger.SetFormatter(&logrus.JSONFormatter{})
 		for i, p := range peers {
 			core := gossip.NewCore(gossip.Config{Node: p.Node, Region: p.Region, Incarnation: 1, Rand: rand.New(rand.NewPCG(1, uint64(i)))})
 			core.SetPeers(append(append([]gossip.Peer{}, peers[:i]...), peers[i+1:]...))
 			net[p.Node] = gossip.NewRunner(core, net.from(p.Node))
-			g := newGuard(&cluster{self: membership.Member{Node: p.Node}, gossip: net[p.Node]}, metrics.NewSet())
+			g := newGuard(&cluster{self: membership.Member{Node: p.Node}, gossip: net[p.Node], log: logrus.NewEntry(logger)}, metrics.NewSet())
 			g.startedAt = func(string) int64 { return 1 }
 			guards = append(guards, g)
 			go net[p.Node].Run(ctx)
@@ -84,5 +91,6 @@
 		assert.Assert(t, runs >= 4, "%d runs in 20 s", runs)
 		cancel()
 		time.Sleep(2 * time.Second)
+		assert.Equal(t, strings.Count(log.String(), `"verdict":"tried"`), runs, "log lines of runs on probation")
 	})
 }
