edge: the other traffic of a test reaches every server

The test says that other traffic runs into the crashed server; concurrent requests are spread over all of them.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -256,10 +256,12 @@
 		cancel()
 		assert.Assert(t, got.err != nil)
 		time.Sleep(100 * time.Millisecond)
+		// Other traffic runs into the crashed server: concurrent requests are spread over all servers.
+		var others sync.WaitGroup
 		for i := range 8 {
-			// Other traffic runs into the crashed server.
-			n.do(t, call{method: http.MethodGet, path: fmt.Sprint("/look/", i)})
+			others.Go(func() { n.do(t, call{method: http.MethodGet, path: fmt.Sprint("/look/", i)}) })
 		}
+		others.Wait()
 		time.Sleep(4 * time.Second) // until the crash is decided, without another one near
 	}
 	assert.Equal(t, n.do(t, call{method: http.MethodGet, path: crashingPath}).status, http.StatusServiceUnavailable)
