--- a/internal/generate/runner.go
+++ b/internal/generate/runner.go
@@ -80,7 +80,7 @@
 
 // Strikes tracks requests that may crash servers.
 type Strikes interface {
-	// State returns how a request may run now and, if it is held, how long until the decision.
+	// State returns how a request that is about to run may run now and, if it is held, when to ask again.
 	State(digest string) (state strike.State, wait time.Duration)
 	// TryStart counts a run on a server. If ok is false, the request must not run now; otherwise end must be called once.
 	TryStart(server *route.Server, digest string) (end func(strike.Outcome), ok bool)
--- a/pkg/strike/strike.go
+++ b/pkg/strike/strike.go
@@ -14,6 +14,8 @@
 // happens, and four in any other case, apart from the races below. A request that waves of crashes hit, or that runs
 // beside a poison request, is refused only after its fourth crash in a row.
 //
+// Between isolation and quarantine a request is on probation: it runs on one node at a time in the whole deployment.
+//
 // A request whose pending strikes could quarantine it is held: it neither runs nor is refused until the decision, which
 // takes longer than gossip needs to reach all nodes.
 //
@@ -29,7 +31,7 @@
 //   - A caller that does not wait for the response and resends through a node which has not received the strike yet
 //     (less than a gossip delay after the crash) crashes one more server per such resend.
 //   - On one node, TryStart refuses a second run of a request with a strike while the first is in flight. Across nodes,
-//     two isolated runs of the same request can overlap.
+//     isolated runs of a request with a single strike can overlap; see trial.go for requests with more.
 //   - Two servers that are lost to unrelated causes, with the same request retried from the first to the second, make that
 //     request look like a poison request. Its quarantine ends when the record expires.
 package strike
