strike: the simulation refuses waiting requests as strictly as internal/edge

Since a waiting request polled until 3 s were over; internal/edge refuses it as soon as its state can change only after that. So the check on refused requests had become laxer than before.

--- a/pkg/strike/sim_test.go
+++ b/pkg/strike/sim_test.go
@@ -247,11 +247,12 @@
 	})
 }
 
-// wait sends a request that must not run now again later, unless it is refused.
+// wait sends a request that must not run now again later. Like internal/edge it refuses one that is quarantined, or whose
+// state may change only after simMaxWait.
 func (s *simulation) wait(req *simRequest, state State, wait time.Duration) {
-	wait = min(wait, simPollInterval)
-	req.waited += wait
-	if state != Quarantined && req.waited <= simMaxWait {
+	if state != Quarantined && req.waited+wait <= simMaxWait {
+		wait = min(wait, simPollInterval)
+		req.waited += wait
 		s.after(wait, func() { s.send(req) })
 		return
 	}
