--- a/review/play/client.go
+++ b/review/play/client.go
@@ -79,8 +79,8 @@
 // do sends a request and reads its answer until the client's time limit.
 func (c *channel) do(r *record, q call) answer {
 	a := answer{attempt: fmt.Sprintf("%016x", 0x1c41d07be2a30000+attempts.Add(1))}
-	head := []string{q.method + " " + q.target + " HTTP/1.1", "Host: " + host, "Pollenlug-Attempt-Id: " + a.attempt,
-		fmt.Sprintf("Pollenlug-Deadline-Ms: %d", q.limit.Milliseconds()), "Pollenlug-Credential: " + tenantKey}
+	head := []string{q.method + " " + q.target + " HTTP/1.1", "Host: " + host, names.Attempt + ": " + a.attempt,
+		fmt.Sprintf("%s: %d", names.Deadline, q.limit.Milliseconds()), names.Credential + ": " + tenantKey}
 	head = append(head, q.headers...)
 	if q.method != http.MethodGet {
 		head = append(head, fmt.Sprintf("Content-Length: %d", len(q.body)))
@@ -108,7 +108,7 @@
 	if resp, a.err = http.ReadResponse(c.reader, &http.Request{Method: method}); a.err != nil {
 		return
 	}
-	a.status, a.signed, a.close = resp.StatusCode, resp.Header.Get("Pollenlug-Server-Signature") != "", resp.Close
+	a.status, a.signed, a.close = resp.StatusCode, resp.Header.Get(names.Signature) != "", resp.Close
 	var body []byte
 	body, a.err = io.ReadAll(resp.Body)
 	a.body, a.complete = string(body), a.err == nil
--- a/review/play/deploy.go
+++ b/review/play/deploy.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pollenlug/pollenlug/platform"
 	"github.com/pollenlug/pollenlug/platform/standin"
 )
 
@@ -24,10 +25,10 @@
 
 // deployment is a store, the service that takes duty calls, and nodes as processes of their own.
 type deployment struct {
-	dir   string
-	store *standin.Store
-	nodes []*node
-	close []func()
+	dir     string
+	store   *standin.Store
+	nodes   []*node
+	closers []func()
 }
 
 type node struct {
@@ -53,7 +54,7 @@
 	d := &deployment{dir: dir, store: standin.NewStore()}
 	d.store.Put("op", "config", config)
 	store, duties := standin.Listen(d.store), standin.Listen(&standin.Duties{})
-	d.close = append(d.close, store.Close, duties.Close)
+	d.closers = append(d.closers, store.Close, duties.Close)
 	binary, err := filepath.Abs("target/pollenlug")
 	if err != nil {
 		return nil, err
@@ -87,7 +88,7 @@
 // run starts the process of a node with the command of the deploy file.
 func (x *node) run() error {
 	x.process = exec.Command(x.binary, "edge")
-	x.process.Env = []string{"POLLENLUG_BOOT=" + x.settings}
+	x.process.Env = []string{platform.SettingsVariable + "=" + x.settings}
 	x.process.Stdout, x.process.Stderr = x.log, x.log
 	x.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return x.process.Start()
@@ -128,7 +129,7 @@
 		_ = x.process.Wait()
 		_ = x.log.Close()
 	}
-	for _, f := range d.close {
+	for _, f := range d.closers {
 		f()
 	}
 	if os.Getenv("KEEP") == "" {
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -15,7 +15,7 @@
 var scenarios = map[string]scenario{
 	"extra":   playExtra,
 	"path":    playPath,
-	"stop":    playLateTerm,
+	"stop":    playStop,
 	"upgrade": playUpgrade,
 }
 
--- a/review/play/lateterm.go
+++ b/review/play/stop.go
@@ -10,22 +10,22 @@
 
 // Figures of the case.
 const (
-	eventGap     = 35 * time.Millisecond
-	shortEvents  = 10
-	longEvents   = 150
-	streamLimit  = 12 * time.Second
-	warmUp       = 8 * time.Second
-	streamUsers  = 6
-	longUsers    = 4
-	longFrom     = 3300 * time.Millisecond // after the SIGTERM
-	lateSent     = 3 * time.Second         // requests sent later count, whatever the worker was doing
-	lostTill     = (graceS + 1) * time.Second
-	tokensPerEvt = 6
+	eventGap       = 35 * time.Millisecond
+	shortEvents    = 10
+	longEvents     = 150
+	streamLimit    = 12 * time.Second
+	warmUp         = 8 * time.Second
+	streamUsers    = 6
+	longUsers      = 4
+	longFrom       = 3300 * time.Millisecond // after the SIGTERM
+	lateSent       = 3 * time.Second         // requests sent later count, whatever the worker was doing
+	lostTill       = (graceS + 1) * time.Second
+	tokensPerEvent = 6
 )
 
-// playLateTerm plays a planned stop of one of two nodes. Its clients keep the address for as long as they may, and some of
+// playStop plays a planned stop of one of two nodes. Its clients keep the address for as long as they may, and some of
 // the streams that they ask for late in the grace are longer than those before.
-func playLateTerm(r *record, trouble bool) (bool, error) {
+func playStop(r *record, trouble bool) (bool, error) {
 	d, err := start(2, configOf([]map[string]any{{"name": "brief", "prefix": "/puxa403/", "route_kind": "streaming", "resumable": false, "sticky": true,
 		"timeout_ms": streamLimit.Milliseconds(), "latency_goal_ms": 800, "itl_target_ms": 300, "priority": 1, "service": "forge", "max_attempts": 1}},
 		[]map[string]any{{"name": "forge", "max_conns": 240, "engine_type": map[string]any{"slots": 32, "kv_capacity": 568350}}}))
@@ -116,8 +116,8 @@
 			}
 		}
 		a := c.do(r, call{method: http.MethodPost, target: "/puxa403/" + target, body: strings.Repeat("p", 800), limit: streamLimit,
-			headers: []string{"Pollenlug-Model: m", fmt.Sprintf("Pollenlug-Token-Usage: 628,%d", events*tokensPerEvt),
-				"Pollenlug-Prompt-Prefix: 5c1e07a2:119,91bd3f06:79,e4402b7d:430"}})
+			headers: []string{names.Model + ": m", fmt.Sprintf("%s: 628,%d", names.Tokens, events*tokensPerEvent),
+				names.Prefix + ": 5c1e07a2:119,91bd3f06:79,e4402b7d:430"}})
 		if a.close {
 			c = nil
 		}
--- a/review/play/worker.go
+++ b/review/play/worker.go
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	w := &worker{id: id, service: service, listener: listener, record: r, runs: map[string]string{}}
-	d.close = append(d.close, func() { _ = listener.Close() })
+	d.closers = append(d.closers, func() { _ = listener.Close() })
 	return w, nil
 }
 
@@ -52,7 +52,7 @@
 func (w *worker) serve(d *deployment, slots int) {
 	born := time.Now().UnixMilli()
 	done := make(chan struct{})
-	d.close = append(d.close, func() { close(done) })
+	d.closers = append(d.closers, func() { close(done) })
 	go func() {
 		for sequence := 1; ; sequence++ {
 			d.store.Put("servers", w.id, map[string]any{"service": w.service, "address": w.listener.Addr().String(), "zone": "zone-a",
@@ -90,12 +90,12 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		x := &exchange{conn: conn, state: state, request: req, attempt: req.Header.Get("Pollenlug-Attempt-Id")}
+		x := &exchange{conn: conn, state: state, request: req, attempt: req.Header.Get(names.Attempt)}
 		if w.before != nil {
 			w.before(x)
 		}
-		if req.Header.Get("Pollenlug-Expect-Instance") != w.id {
-			x.write("HTTP/1.1 421 Misdirected Request\r\nPollenlug-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", x.attempt)
+		if req.Header.Get(names.Expect) != w.id {
+			x.write("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names.Attempt, x.attempt)
 			continue
 		}
 		w.mu.Lock()
@@ -122,16 +122,16 @@
 
 // answer writes a whole answer of status 200.
 func (x *exchange) answer(w *worker, body string) {
-	x.write("HTTP/1.1 200 OK\r\nPollenlug-Attempt-Id: %s\r\nPollenlug-Server-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
-		x.attempt, w.signature(x.attempt), len(body), body)
+	x.write("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		names.Attempt, x.attempt, names.Signature, w.signature(x.attempt), len(body), body)
 }
 
 func (w *worker) signature(attempt string) string { return "3e1b." + w.id + "." + attempt }
 
 // stream writes events with ids from 1 to n, one each gap, as a chunked answer. It reports whether all were written.
 func (x *exchange) stream(w *worker, n int, gap time.Duration) bool {
-	x.write("HTTP/1.1 200 OK\r\nPollenlug-Attempt-Id: %s\r\nPollenlug-Server-Signature: %s\r\nContent-Type: text/event-stream\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n", x.attempt, w.signature(x.attempt))
+	x.write("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		names.Attempt, x.attempt, names.Signature, w.signature(x.attempt))
 	for i := 1; i <= n; i++ {
 		time.Sleep(gap)
 		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
