drain: a stopping node accepts no stream by the durations of others

Cause: a request whose deadline lies beyond the end of the grace was accepted if 1.5 times the longest recent request of its route fitted, whatever its own size. An error can replace a plain response when the time is over, but not a stream that has begun.

Change: a stream is accepted only if its deadline passes in time. In the first 2.5 s, in which callers do not yet know of the stop, its own size and the recent time per token of its service decide. For that the service is chosen before the decision.

Ruled out: faults of the servers or of the connections; the server goes on sending when the node closes the channel.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -46,12 +46,18 @@
 	}
 	now := time.Now()
 	stop := drain.Stop{At: *at, Work: n.settings.workPeriod(), Grace: n.settings.Grace}
-	if stop.Accept(drain.Request{Route: req.route.Name, Repeat: req.route.Repeat, Left: req.deadline.Sub(now)}, n.durations, now) {
+	if stop.Accept(drainRequest(req, now), n.durations, now) {
 		return nil
 	}
 	return leavingRefusal()
 }
 
+// drainRequest describes a request for package drain.
+func drainRequest(req *request, now time.Time) drain.Request {
+	return drain.Request{Route: req.route.Name, Service: req.service.Name, Repeat: req.route.Repeat, Stream: req.route.Stream,
+		Output: req.expectedOutput(), Left: req.deadline.Sub(now)}
+}
+
 func leavingRefusal() *code.Error {
 	return code.New(code.NodeLeaving, "this node is stopping; another one takes the request").WithRetryAfter(leavingRetryAfter)
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -100,7 +100,8 @@
 		n.refuse(req, refusal)
 	}
 	if req.outcome == logline.Served {
-		n.durations.Record(req.route.Name, time.Since(req.arrived), time.Now())
+		now := time.Now()
+		n.durations.Record(drainRequest(req, now), now.Sub(req.arrived), now)
 	}
 }
 
@@ -122,15 +123,15 @@
 	}
 	req.priority = serving.EffectivePriority(req.route, req.workspace)
 	req.deadline = req.arrived.Add(requestTimeout(req))
+	if req.service = c.Services[chooseTarget(req.route.Targets, rand.Float64())]; req.service == nil {
+		return code.New(code.NoBackendServer, "the route's service is not configured").WithRetryAfter(configRetryAfter)
+	}
 	if refusal := n.refuseIfStopping(req); refusal != nil {
 		return refusal
 	}
 	if c.Limits.HeaderBytes > 0 && headerBytes(req.http) > c.Limits.HeaderBytes {
 		return code.New(code.HeaderTooLarge, "the header is larger than the configuration allows")
 	}
-	if req.service = c.Services[chooseTarget(req.route.Targets, rand.Float64())]; req.service == nil {
-		return code.New(code.NoBackendServer, "the route's service is not configured").WithRetryAfter(configRetryAfter)
-	}
 	return n.readBody(req, c.Limits.BodyBytes)
 }
 
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/pollenlug/pollenlug/platform/standin"
 )
@@ -80,3 +82,46 @@
 		})
 	}
 }
+
+// Guards against streams that a stopping node accepts late in its grace period because shorter ones ended in time, and
+// then cuts off (review/2).
+func TestStreamsOfAStoppingNodeAreWholeOrRefused(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.grace = 3 * time.Second
+	d.configure()
+	s := d.serve("engine-1", "engine", 60)
+	var long atomic.Bool
+	s.SetBehavior(func(*http.Request) standin.Behavior {
+		if long.Load() {
+			return standin.Behavior{Gap: 40 * time.Millisecond} // 2.4 s
+		}
+		return standin.Behavior{}
+	})
+	n := d.node()
+	var callers sync.WaitGroup
+	ask := func(tokens int) {
+		callers.Go(func() {
+			sent := time.Now()
+			got := n.do(t, call{path: "/quote/1", header: map[string]string{"Pollenlug-Deadline-Ms": "5500",
+				"Pollenlug-Token-Usage": fmt.Sprintf("10,%d", tokens), "Pollenlug-Prompt-Prefix": "0a:10"}})
+			if got.status == http.StatusOK {
+				assert.Check(t, got.err, "the stream sent at %v broke off after %d bytes", sent, len(got.body))
+				assert.Check(t, is.Equal(got.body, events(1, 60)))
+			}
+		})
+	}
+	for range 20 {
+		ask(10)
+		callers.Wait()
+	}
+	long.Store(true)
+	n.stop()
+	time.Sleep(1200 * time.Millisecond) // past the time in which callers learn of the stop
+	for range 10 {
+		ask(600)
+		time.Sleep(50 * time.Millisecond)
+	}
+	<-n.done
+	callers.Wait()
+}
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -20,7 +20,7 @@
 	duration := func() time.Duration { return time.Duration((0.7 + 0.5*rng.Float64()) * float64(work)) }
 	recent, start := NewDurations(), time.Unix(1000, 0)
 	for range 50 {
-		recent.Record("r", duration(), start)
+		recent.Record(Request{Route: "r"}, duration(), start)
 	}
 	stop := Stop{At: start, Work: grace - grace/20, Grace: grace}
 	for since := time.Duration(0); since < grace; since += grace / 200 {
@@ -68,13 +68,46 @@
 		if i%20 == 0 {
 			took = 9 * time.Second
 		}
-		recent.Record("r", took, signal)
+		recent.Record(Request{Route: "r"}, took, signal)
 	}
-	stream := Request{Route: "r", Repeat: serving.Resumable, Left: 12 * time.Second}
+	stream := Request{Route: "r", Stream: true, Repeat: serving.Resumable, Left: 12 * time.Second}
 	stop := Stop{At: signal, Work: 7500 * time.Millisecond, Grace: 8 * time.Second}
 	assert.Assert(t, stop.Accept(stream, recent, signal.Add(2*time.Second)))
 	assert.Assert(t, !stop.Accept(stream, recent, signal.Add(3*time.Second)), "some streams take 9 s")
-	assert.Assert(t, stop.Accept(Request{Route: "new", Repeat: serving.Resumable, Left: 12 * time.Second}, recent, signal), "nothing is known")
+	assert.Assert(t, stop.Accept(Request{Route: "new", Stream: true, Repeat: serving.Resumable, Left: 12 * time.Second}, recent, signal), "nothing is known")
 	stream.Repeat = serving.AtMostOnce
 	assert.Assert(t, !stop.Accept(stream, recent, signal), "a stream that may not be repeated")
 }
+
+// Guards against streams that are accepted by the durations of shorter ones and cut off at the end of the grace period.
+func TestStreamsAreNotCutOffAtTheEndOfAStop(t *testing.T) {
+	const tokenTime, deadline = 35 * time.Millisecond, 12 * time.Second
+	recent, signal := NewDurations(), time.Unix(1000, 0)
+	request := func(repeat serving.RetryRule, output int) Request {
+		return Request{Route: "r", Service: "s", Stream: true, Repeat: repeat, Output: output, Left: deadline}
+	}
+	for range 20 {
+		recent.Record(request(serving.Resumable, 10), 10*tokenTime, signal)
+	}
+	stop := Stop{At: signal, Work: 7500 * time.Millisecond, Grace: 8 * time.Second}
+	accepted := 0
+	for _, repeat := range []serving.RetryRule{serving.AtMostOnce, serving.Resumable} {
+		for since := time.Duration(0); since < stop.Grace; since += 100 * time.Millisecond {
+			for _, output := range []int{10, 50, 150, 300} {
+				r := request(repeat, output)
+				if !stop.Accept(r, recent, signal.Add(since)) {
+					continue
+				}
+				accepted++
+				end := since + time.Duration(output)*tokenTime
+				assert.Assert(t, end <= stop.Work, "a stream of %d tokens, accepted %v after the signal, ends %v after it", output, since, end)
+			}
+		}
+	}
+	assert.Assert(t, accepted > 0)
+	short := request(serving.Resumable, 150)
+	short.Left = 3 * time.Second
+	assert.Assert(t, stop.Accept(short, recent, signal.Add(4*time.Second)), "its deadline passes in time")
+	unknown := request(serving.Resumable, 0)
+	assert.Assert(t, stop.Accept(unknown, recent, signal.Add(time.Second)), "streams of its route take 0.35 s")
+}
