edge, logsink: requests that a stopping node ends last are logged

Operators found no line of requests that were cut off at the end of the grace; lines written after the sink was closed ended the process with a panic.

Cause: http.Server does not wait for handlers whose connections are closed or hijacked, and neither did the node; logsink.Write sent on a closed channel after Close.

Change: after its servers are closed a node waits for open requests until half of its exit margin is over. The sink drops and counts what is written after its end.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -21,6 +21,10 @@
 	exitMargin   = 300 * time.Millisecond
 	answerMargin = 200 * time.Millisecond
 	marginShare  = 0.1
+	// lastLinesShare is the part of the exit margin in which the requests that were ended last write their log lines.
+	// lastLinesPollInterval is how often the node checks whether they have.
+	lastLinesShare        = 0.5
+	lastLinesPollInterval = 5 * time.Millisecond
 	// stopLogInterval is how often a stopping node logs what it waits for.
 	stopLogInterval = time.Second
 )
@@ -89,6 +93,16 @@
 	clock.Sleep(ctx, time.Until(start.Add(min(listenPeriod, time.Duration(listenShare*float64(n.settings.Grace))))))
 	n.closeServers(ctx, servers)
 	<-unregistered
+	lastLines := time.Duration(lastLinesShare * float64(n.settings.drainMargin(exitMargin)))
+	n.awaitRequests(start.Add(n.settings.exitAt() + lastLines))
+}
+
+// awaitRequests waits until all requests have been logged, at most until the given time. http.Server does not wait for
+// requests whose connections the node has closed itself.
+func (n *Node) awaitRequests(until time.Time) {
+	for n.openRequests.Load() > 0 && time.Now().Before(until) {
+		time.Sleep(lastLinesPollInterval)
+	}
 }
 
 // closeServers stops accepting connections, waits for the requests in progress and closes all servers when ctx ends at
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/platform/standin"
 )
 
@@ -125,3 +127,39 @@
 	<-n.done
 	callers.Wait()
 }
+
+// Guards against a node that exits, with time left, before the requests that it has cut off are logged.
+func TestRequestsCutOffAtTheEndAreLogged(t *testing.T) {
+	t.Parallel()
+	const streams = 20
+	d := newDeployment(t)
+	d.grace = 2 * time.Second
+	d.configure()
+	for i := range 5 {
+		d.serve(fmt.Sprint("engine-", i), "engine", 10000).SetBehavior(always(standin.Behavior{EventSize: 64 << 10}))
+	}
+	n := d.node()
+	ids := map[string]bool{}
+	for i := range streams {
+		id := fmt.Sprint("cut-", i)
+		// The caller reads nothing, so that the node waits in a write until it closes the connection.
+		conn, err := net.Dial("tcp", n.settings.CallerAddr)
+		assert.NilError(t, err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST /quote/1 HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\nPollenlug-Attempt-Id: %s\r\nPollenlug-Deadline-Ms: 5900\r\n\r\n", host, id)
+		assert.NilError(t, err)
+		ids[id] = true
+	}
+	time.Sleep(500 * time.Millisecond) // until the streams run
+	stopped := time.Now()
+	n.stop()
+	<-n.done
+	took := time.Since(stopped)
+	for _, line := range d.logs.read(t).Lines {
+		if id, ok := line.Fields[logline.Attempt].(string); ok {
+			delete(ids, id)
+		}
+	}
+	const timeToExit = 150 * time.Millisecond
+	assert.Assert(t, len(ids) == 0 || took >= d.grace-timeToExit, "%d streams without a log line, the node took %v of %v", len(ids), took, d.grace)
+}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,9 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
+
+	mu     sync.RWMutex
+	closed bool
 }
 
 // New returns a Sink that writes to out until the Sink is closed.
@@ -35,8 +39,14 @@
 	return s
 }
 
-// Write implements io.Writer. It never blocks and never fails.
+// Write implements io.Writer. It never waits for the output and never fails. A line written after Close is dropped.
 func (s *Sink) Write(line []byte) (int, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.closed {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
@@ -48,9 +58,16 @@
 // Dropped returns the number of lines dropped but not yet reported in the output.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
-// Close writes the queued lines, waiting at most flushWait. Write must not be called after Close.
+// Close writes the queued lines, waiting at most flushWait. Later calls do nothing.
 func (s *Sink) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
 	close(s.lines)
+	s.mu.Unlock()
 	select {
 	case <-s.done:
 	case <-time.After(flushWait):
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -32,3 +32,27 @@
 	done.Wait()
 	assert.Assert(t, strings.Contains(out.String(), fmt.Sprintf(`"count":%d`, dropped)))
 }
+
+// Guards against requests that end while the process exits and crash it with their log lines.
+func TestLinesAfterTheEndAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	s := New(&out)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 1000 {
+				_, err := io.WriteString(s, "line\n")
+				assert.Check(t, err)
+			}
+		})
+	}
+	s.Close()
+	writers.Wait()
+	written := strings.Count(out.String(), "line\n")
+	n, err := io.WriteString(s, "late\n")
+	assert.NilError(t, err)
+	assert.Equal(t, n, len("late\n"))
+	s.Close()
+	assert.Equal(t, strings.Count(out.String(), "line\n"), written)
+	assert.Assert(t, !strings.Contains(out.String(), "late"))
+}
