--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -60,6 +60,7 @@
 	version        int
 	withFinalRoute bool
 	stopping       atomic.Bool
+	options        envOptions
 
 	// rowsMu guards rows, and servers and links where a server is added.
 	rowsMu sync.Mutex
@@ -74,8 +75,18 @@
 	sequence int
 }
 
+// envOptions are what differs between the soaks.
+type envOptions struct {
+	// graceSeconds is the time between SIGTERM and SIGKILL, timeoutMS that of the routes.
+	graceSeconds, timeoutMS int
+}
+
 func newTestEnv(t *testing.T, nodes, services int) *testEnv {
-	env := &testEnv{t: t, store: standin.NewStore(), duties: &standin.Duties{}, ports: standin.NewPorts(*portFlag)}
+	return newTestEnvWith(t, nodes, services, envOptions{graceSeconds: 3, timeoutMS: 5000})
+}
+
+func newTestEnvWith(t *testing.T, nodes, services int, o envOptions) *testEnv {
+	env := &testEnv{t: t, options: o, store: standin.NewStore(), duties: &standin.Duties{}, ports: standin.NewPorts(*portFlag)}
 	store, duties := standin.Listen(env.store), standin.Listen(env.duties)
 	t.Cleanup(store.Close)
 	t.Cleanup(duties.Close)
@@ -105,7 +116,7 @@
 		if kind == "streaming" {
 			service = "engine"
 		}
-		routes = append(routes, map[string]any{"name": prefix, "hostname": host, "prefix": prefix, "route_kind": kind, "timeout_ms": 5000,
+		routes = append(routes, map[string]any{"name": prefix, "hostname": host, "prefix": prefix, "route_kind": kind, "timeout_ms": env.options.timeoutMS,
 			"latency_goal_ms": 1000, "itl_target_ms": 200, "service": service, "max_attempts": 3, "resumable": kind == "streaming"})
 	}
 	env.store.Put("op", "config", map[string]any{"version": env.version, "routes": routes,
@@ -185,7 +196,7 @@
 		"listen":         map[string]string{"frontend": addrs[0], "ready": addrs[1], "control_plane": addrs[2], "registry": addrs[3]},
 		"internal_ports": []int{first, first + 3}, "seed_nodes": seeds, "bootstrap": true,
 		"limits": map[string]any{"cpu_quota": 1, "memory_mb": 256, "max_fds": 1000}, "heartbeat_ms": 500,
-		"bounds": map[string]any{"drain_ms": 2000, "grace_s": 3, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 60, "quota_window_s": 8,
+		"bounds": map[string]any{"drain_ms": 2000, "grace_s": env.options.graceSeconds, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 60, "quota_window_s": 8,
 			"lease_ms": 1500, "usage_window_s": 2, "usage_delay_s": 6, "ttl_max_s": 5, "config_deadline_ms": 2000},
 		"platform": map[string]string{"address": p.storeProxy.addr()}, "cloud_api": map[string]string{"address": duties}}
 	data, err := json.Marshal(boot)
