drain: the time to the first event counts once in the forecast of a stream

Cause: it forecast a stream by the time per token of whole streams. For short ones that is mostly the time to the first event, and its 0.9 quantile is that of the shortest.

Change: the time to the first event (0.9 quantile) and the time per token after it (median: it evens out over a stream) are recorded apart.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -101,7 +101,7 @@
 	}
 	if req.outcome == logline.Served {
 		now := time.Now()
-		n.durations.Record(drainRequest(req, now), now.Sub(req.arrived), now)
+		n.durations.Record(drainRequest(req, now), req.firstEvent, now.Sub(req.arrived), now)
 	}
 }
 
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -20,6 +20,8 @@
 	margin = 1.5
 	// usualQuantile is the part of the recent requests whose durations count as usual.
 	usualQuantile = 0.9
+	// paceQuantile is the same for the time per token, which evens out over a stream.
+	paceQuantile = 0.5
 	// learnPeriod is how long after the stop signal callers send requests because they have not queried the directory
 	// since. learnShare limits it to a part of the grace period.
 	learnPeriod = 2500 * time.Millisecond
@@ -47,9 +49,9 @@
 
 // Accept reports whether a stopping node accepts a request.
 //
-// In the first seconds, in which refusals would affect all callers of the node, a request that can be repeated or
-// resumed is accepted if most requests of its size would end in time. After them, a stream is accepted only if its
-// deadline passes in time.
+// In the first seconds, in which refusals would affect all callers of the node, a stream is accepted if it usually ends in
+// time at its size, and any request that can be repeated or resumed if most of its route do. After them, a stream is
+// accepted only if its deadline passes in time.
 func (s Stop) Accept(r Request, d *Durations, now time.Time) bool {
 	since := now.Sub(s.At)
 	left := s.Work - since
@@ -57,46 +59,60 @@
 		return true
 	}
 	learning := since <= min(learnPeriod, time.Duration(learnShare*float64(s.Grace)))
-	switch {
-	case learning && r.Repeat.MayRetry():
-		usual, known := d.estimate(r, usualQuantile, now)
-		return !known || usual <= left
-	case r.Stream && !learning:
+	if r.Stream && !learning {
 		return false
 	}
-	longest, known := d.estimate(r, 1, now)
+	if usual, known := d.ofSize(r, now); known && learning {
+		if !r.Repeat.MayRetry() {
+			usual = time.Duration(margin * float64(usual))
+		}
+		return usual <= left
+	}
+	if learning && r.Repeat.MayRetry() {
+		usual, known := d.quantile(r.Route, usualQuantile, now)
+		return !known || usual <= left
+	}
+	longest, known := d.quantile(r.Route, 1, now)
 	return known && time.Duration(margin*float64(longest)) <= left
 }
 
 // minPace is the smallest time per token that is told apart, in milliseconds.
 const minPace = 1.0 / 64
 
-// Durations records how long the requests of each route took, and how long the streams of each service took per token.
-// Its methods may be called concurrently.
-type Durations struct{ milliseconds, pace *recent.Histograms }
+// Durations records how long the requests of each route took, and for the streams of each service the times to the first
+// event and from then on per token. Its methods may be called concurrently.
+type Durations struct{ milliseconds, first, pace *recent.Histograms }
 
 // NewDurations returns an empty record.
 func NewDurations() *Durations {
-	return &Durations{milliseconds: recent.New(1), pace: recent.New(minPace)}
+	return &Durations{milliseconds: recent.New(1), first: recent.New(1), pace: recent.New(minPace)}
 }
 
-// Record adds the duration of a request that was served.
-func (d *Durations) Record(r Request, took time.Duration, now time.Time) {
-	ms := float64(took) / float64(time.Millisecond)
-	d.milliseconds.Record(r.Route, ms, now)
+// Record adds the duration of a request that was served. first is the time to the first event of a stream.
+func (d *Durations) Record(r Request, first, took time.Duration, now time.Time) {
+	d.milliseconds.Record(r.Route, milliseconds(took), now)
 	if r.Stream && r.Output > 0 {
-		d.pace.Record(r.Service, ms/float64(r.Output), now)
+		d.first.Record(r.Service, milliseconds(first), now)
+		d.pace.Record(r.Service, milliseconds(took-first)/float64(r.Output), now)
 	}
 }
 
-// estimate returns the time that a part q of the recent streams of the size of r did not exceed, or of the recent requests
-// of its route where sizes are not known.
-func (d *Durations) estimate(r Request, q float64, now time.Time) (time.Duration, bool) {
-	if r.Stream && r.Output > 0 {
-		if pace, ok := d.pace.Quantile(r.Service, q, now); ok {
-			return time.Duration(pace * float64(r.Output) * float64(time.Millisecond)), true
-		}
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// ofSize returns the time in which most streams of the size of r end. ok is false if sizes or times are not known.
+func (d *Durations) ofSize(r Request, now time.Time) (usual time.Duration, ok bool) {
+	if !r.Stream || r.Output == 0 {
+		return 0, false
 	}
-	ms, ok := d.milliseconds.Quantile(r.Route, q, now)
-	return time.Duration(ms * float64(time.Millisecond)), ok
+	first, known := d.first.Quantile(r.Service, usualQuantile, now)
+	pace, paceKnown := d.pace.Quantile(r.Service, paceQuantile, now)
+	return fromMilliseconds(first + pace*float64(r.Output)), known && paceKnown
+}
+
+// quantile returns the duration that a part q of the recent requests of a route did not exceed.
+func (d *Durations) quantile(route string, q float64, now time.Time) (time.Duration, bool) {
+	ms, ok := d.milliseconds.Quantile(route, q, now)
+	return fromMilliseconds(ms), ok
 }
