platform, placement: the fourth figure of a server's load is read

Cause: a Pollenlug-Server-Load with four figures was dropped whole, and no decision read the reports. The reports are kept by the board; no decision uses them yet. Choice.Eligible lets a caller of the board exclude servers by other properties.

--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -112,6 +112,9 @@
 func (n *Node) checkReply(req *request, resp *http.Response, ticket *placement.Ticket, reused bool) (sendResult, bool) {
 	reply := n.headers.Reply(resp)
 	n.withhold(req, reply, ticket.Server)
+	if !reply.OtherServer {
+		n.board.ObserveReply(ticket.Server, reply, time.Now())
+	}
 	refused := reply.NotRun || reply.OtherServer
 	switch {
 	case reply.AttemptID != req.AttemptID && (reply.AttemptID != "" || reply.Signed || refused && reused):
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -53,6 +53,8 @@
 	// unreported is the number of unreported requests per server beyond unreportedTolerance, by service; see SetUnreported.
 	unreported map[string]float64
 	withheld   map[string]withheld // by server id
+	// sharedMachines holds the services whose servers report the work time of their machines.
+	sharedMachines map[string]bool
 }
 
 type server struct {
@@ -68,6 +70,9 @@
 	sentAt time.Time
 	// fullAt is when the server last refused a request as full.
 	fullAt time.Time
+	// report is the load that the server last reported in a response, received at reportedAt.
+	report     serving.Reply
+	reportedAt time.Time
 }
 
 type peerLoads struct {
@@ -78,7 +83,7 @@
 // NewBoard returns a Board for a node in the given failure domain.
 func NewBoard(domain string) *Board {
 	return &Board{domain: domain, servers: map[string]*server{}, groups: map[string][]*server{}, peers: map[string]*peerLoads{},
-		unreported: map[string]float64{}, withheld: map[string]withheld{}}
+		unreported: map[string]float64{}, withheld: map[string]withheld{}, sharedMachines: map[string]bool{}}
 }
 
 // SetServers replaces the set of servers. The state of a server that was restarted or has moved to another address is
@@ -244,6 +249,8 @@
 	Service string
 	// Exclude lists the ids of servers that were already tried.
 	Exclude []string
+	// Eligible excludes servers that must not get the request, for example because of their version; nil allows all.
+	Eligible func(*serving.Server) bool
 	// Allowed filters servers, for example to skip those ejected as outliers; nil allows all. Servers that are not
 	// allowed are used only when no other is left.
 	Allowed func(id string) bool
@@ -257,6 +264,9 @@
 		if s.State != serving.Ready || contains(c.Exclude, s.ID) {
 			continue
 		}
+		if c.Eligible != nil && !c.Eligible(&s.Server) {
+			continue
+		}
 		if withheld, _ := b.isWithheld(&s.Server, now); withheld {
 			continue
 		}
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -197,6 +197,9 @@
 	// Running, Waiting and Slots are the server's load; HasLoad is false if it reports none.
 	Running, Waiting, Slots int
 	HasLoad                 bool
+	// WorkTime is how long work takes on the server's machine now, relative to its usual time: 2 means twice as long. It
+	// is 0 if the server does not report it.
+	WorkTime float64
 	// Leaving is set if the server is about to end and wants no new requests.
 	Leaving bool
 	// Pause is how long the server, which refused the request, wants no requests of this node; 0 if it does not say so.
