pkg/rollout: compare versions interval by interval

A sum over a longer time compared requests under different loads when the new version's share changed.

--- a/pkg/rollout/gate.go
+++ b/pkg/rollout/gate.go
@@ -24,7 +24,8 @@
 // Exposed returns the number of requests sent to the new version, and that of all requests.
 func (g *Gate) Exposed() (exposed, requests float64) { return g.exposed, g.requests }
 
-// Allows reports whether the node may send another request to the new version.
-func (g *Gate) Allows(b Bounds) bool {
-	return g.exposed+1 <= g.offset+capShare*b.ExposureShare*g.requests
+// allows reports whether the node may send another request to the new version if the requests so far were multiplied by
+// projection.
+func (g *Gate) allows(b Bounds, projection float64) bool {
+	return g.exposed+1 <= g.offset+capShare*b.ExposureShare*g.requests*projection
 }
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -7,9 +7,11 @@
 )
 
 // The test is a sequential probability ratio test of each route: the hypothesis that the new version fails as often as
-// the old one plus a margin, against the one that a further part of its responses fails; the same for slow responses. It
-// is repeated from several starting points because a version may turn bad late. A response is slow if it takes longer
-// than about 1.5 to 2 times what nine of ten responses of the old version take on the same route in the same seconds.
+// the old one plus a margin, against the one that a further part of its responses fails; the same for slow responses. The
+// log of the ratio is summed over short intervals, each compared with the old version's responses of the same seconds: a
+// sum over a longer time would compare requests under different loads as soon as the new version's share changes. The
+// sum that rejects a version never falls below 0, because a version may turn bad late. A response is slow if it takes
+// longer than about 1.5 to 2 times what nine of ten responses of the old version take on its route.
 const (
 	// rejectAt is the log of the probability ratio at which the version is bad: a good one would reach it with a
 	// probability of 0.00005 from one starting point. acceptAt is the one at which it is clean: a bad one would reach it
@@ -20,6 +22,8 @@
 	acceptTogetherAt = -3.0
 	// contradictAt is the one at which a single route speaks against the version.
 	contradictAt = 1.5
+	// calmBelow is the sum below which nothing speaks against the version.
+	calmBelow = 3.0
 	// uncertainty is the number of standard deviations of the old version's rate that are added to it.
 	uncertainty = 1.5
 	// otherDomainsAt must be reached without the failure domain that contributes most, so that the loss of one failure
@@ -40,9 +44,10 @@
 	domainSamples = 20
 	// minorRoute is the part of all requests below which a route needs no evidence of its own.
 	minorRoute = 0.02
-	// snapshotInterval is the time between two starting points of the test, and maxSnapshots their number.
-	snapshotInterval = 500 * time.Millisecond
-	maxSnapshots     = 16
+	// minInterval is the shortest interval between two judgements, and recentIntervals the number of intervals, two
+	// seconds, whose responses of the old version are the same seconds.
+	minInterval     = 240 * time.Millisecond
+	recentIntervals = 8
 	// maxNodes limits the nodes, with their earlier incarnations, whose counts are kept.
 	maxNodes = 2048
 )
@@ -53,30 +58,31 @@
 	Bad    bool
 	Reason string
 	// Clean is set if each route has shown that the version is not bad since its servers are old enough; CleanTogether if
-	// all routes together have and none contradicts. Calm is set if nothing has spoken against the version lately.
+	// all routes together have and none contradicts. Calm is set if nothing speaks against the version now.
 	Clean, CleanTogether, Calm bool
-	// Responses and Failed are those of the new version, Evidence the highest log of a probability ratio.
+	// Responses and Failed are those of the new version, Evidence the highest sum.
 	Responses, Failed uint32
 	Evidence          float64
-}
-
-type snapshot struct {
-	at    time.Time
-	total Evidence
+	// cleanRoutes are the routes that are clean by themselves.
+	cleanRoutes map[uint32]bool
 }
 
 // Judge sums the counts of all nodes and compares the versions.
 type Judge struct {
-	nodes   map[string]Evidence
-	total   Evidence
-	history []snapshot
-	// proven is the total at the first judgement after provenSince.
-	proven      Evidence
+	nodes    map[string]Evidence
+	total    Evidence
+	judgedAt time.Time
+	recent   []Evidence // what came in the last intervals
+	together tally
+	routes   map[uint32]*tally
+	// provenSince is when the sums for acceptance began.
 	provenSince time.Time
 }
 
 // NewJudge returns a Judge without evidence.
-func NewJudge() *Judge { return &Judge{nodes: map[string]Evidence{}, total: Evidence{}} }
+func NewJudge() *Judge {
+	return &Judge{nodes: map[string]Evidence{}, total: Evidence{}, routes: map[uint32]*tally{}}
+}
 
 // Set replaces the counts of one incarnation of a node. Counts of earlier incarnations stay.
 func (j *Judge) Set(incarnation string, e Evidence) {
@@ -85,20 +91,6 @@
 	}
 }
 
-func (j *Judge) snapshot(now time.Time) {
-	j.total = Evidence{}
-	for _, e := range j.nodes {
-		j.total.add(e)
-	}
-	if n := len(j.history); n > 0 && now.Sub(j.history[n-1].at) < snapshotInterval {
-		return
-	}
-	if len(j.history) == maxSnapshots {
-		j.history = append(j.history[:0], j.history[1:]...)
-	}
-	j.history = append(j.history, snapshot{now, j.total})
-}
-
 // routeRate returns the number of requests per second of a route.
 func (j *Judge) routeRate(route uint32, elapsed time.Duration) float64 {
 	sum := uint32(0)
@@ -110,121 +102,204 @@
 	return float64(sum) / max(elapsed.Seconds(), 1)
 }
 
-// judge compares the versions. provenSince is when the new servers were old enough to be trusted; zero if there are none.
-// allNew is set once all requests go to the new version: then only its failures are compared, with the old version's up
-// to then, because a higher load of the same seconds would look like a slow version.
-func (j *Judge) judge(now, provenSince time.Time, allNew bool) Verdict {
-	v := Verdict{Calm: true, Evidence: math.Inf(-1)}
-	for _, pair := range j.total {
-		v.Responses += pair[New].Answered() + pair[New].Failed
-		v.Failed += pair[New].Failed
+// judge compares what has come since the last call. provenSince is when the new servers are old enough to be trusted; zero
+// if there are none. allNew is set once all requests go to the new version: then only its failures are compared, with the
+// old version's up to then, because a higher load of the same seconds would look like a slow version.
+func (j *Judge) judge(now, provenSince time.Time, allNew bool) (Verdict, bool) {
+	if now.Sub(j.judgedAt) < minInterval {
+		return Verdict{}, false
+	}
+	j.judgedAt = now
+	if proven := !provenSince.IsZero() && !provenSince.After(now); proven && !provenSince.Equal(j.provenSince) {
+		j.provenSince = provenSince
+		j.together.accept = ratios{}
+		for _, t := range j.routes {
+			t.accept = ratios{}
+		}
+	} else if !proven {
+		j.provenSince = time.Time{}
 	}
-	starts := []Evidence{nil}
-	for i, s := range j.history {
-		if age := now.Sub(s.at); i%2 == len(j.history)%2 && age > snapshotInterval && age < maxSnapshots*snapshotInterval/2 {
-			starts = append(starts, s.total)
+	j.add(j.advance(), allNew)
+	return j.verdict(), true
+}
+
+// advance sums the counts and returns what has come since the last call.
+func (j *Judge) advance() Evidence {
+	before := j.total
+	j.total = Evidence{}
+	for _, e := range j.nodes {
+		j.total.add(e)
+	}
+	delta := make(Evidence, len(j.total))
+	for k, pair := range j.total {
+		d := *pair
+		if b := before[k]; b != nil {
+			d = [2]Counts{pair[Old].minus(&b[Old]), pair[New].minus(&b[New])}
 		}
+		delta[k] = &d
 	}
-	for i, start := range starts {
-		c := newComparison(j.total, start, allNew)
-		if reason, ratio := c.worst(); ratio > v.Evidence {
-			v.Evidence = ratio
-			if ratio >= rejectAt {
-				v.Bad, v.Reason = true, reason
+	if len(j.recent) == recentIntervals {
+		j.recent = append(j.recent[:0], j.recent[1:]...)
+	}
+	j.recent = append(j.recent, delta)
+	return delta
+}
+
+// add adds the ratios of an interval.
+func (j *Judge) add(delta Evidence, allNew bool) {
+	recent := Evidence{}
+	for _, e := range j.recent {
+		recent.add(e)
+	}
+	always, lately, now := poolRoutes(j.total), poolRoutes(recent), poolRoutes(delta)
+	together := map[uint32]ratios{}
+	for hash, reference := range always {
+		c := comparison{always: reference, lately: lately[hash], now: now[hash], slowFrom: slowClass(lately[hash], reference, allNew)}
+		domains := map[uint32]ratios{}
+		for k, pair := range delta {
+			if k.Route != hash {
+				continue
 			}
+			r := c.compare(pair, recent[k])
+			domains[k.Domain] = domains[k.Domain].plus(r)
+			together[k.Domain] = together[k.Domain].plus(r)
 		}
-		if i > 0 && c.ratios.fail+c.ratios.slow > 0 {
-			v.Calm = false
+		t := j.routes[hash]
+		if t == nil {
+			t = &tally{}
+			j.routes[hash] = t
 		}
+		t.add(domains, c.slowFrom < Buckets)
 	}
-	if proven := j.provenStart(now, provenSince); proven != nil && !v.Bad {
-		c := newComparison(j.total, proven, allNew)
-		v.Clean, v.CleanTogether = c.clean(), c.cleanTogether()
-	}
-	return v
+	j.together.add(together, !allNew)
 }
 
-// provenStart returns the total when the new servers were old enough, or nil before that.
-func (j *Judge) provenStart(now, since time.Time) Evidence {
-	if since.IsZero() || since.After(now) {
-		return nil
+func (j *Judge) verdict() Verdict {
+	v := Verdict{Calm: true, cleanRoutes: map[uint32]bool{}}
+	v.Reason, v.Evidence = j.together.strongest("all routes")
+	total, requests := uint32(0), map[uint32]uint32{}
+	for k, pair := range j.total {
+		v.Responses += pair[New].Answered() + pair[New].Failed
+		v.Failed += pair[New].Failed
+		n := pair[Old].Answered() + pair[Old].Failed + pair[New].Answered() + pair[New].Failed
+		total += n
+		requests[k.Route] += n
+	}
+	proven := !j.provenSince.IsZero()
+	v.Clean, v.CleanTogether = proven, proven && j.together.accept.max() <= acceptTogetherAt
+	for hash, t := range j.routes {
+		if reason, sum := t.strongest(fmt.Sprintf("route %08x", hash)); sum > v.Evidence {
+			v.Reason, v.Evidence = reason, sum
+		}
+		v.cleanRoutes[hash] = proven && t.clean()
+		if float64(requests[hash]) >= minorRoute*float64(total) && !t.clean() {
+			v.Clean = false
+		}
+		if t.accept.max() > contradictAt {
+			v.CleanTogether = false
+		}
 	}
-	if !since.Equal(j.provenSince) {
-		j.proven, j.provenSince = j.total, since
+	v.Clean = v.Clean && v.CleanTogether
+	v.Calm = v.Evidence < calmBelow
+	if v.Bad = v.Evidence >= rejectAt; !v.Bad {
+		v.Reason = ""
 	}
-	return j.proven
+	return v
 }
 
 // ratios are logs of probability ratios.
 type ratios struct{ fail, slow float64 }
 
-func (r *ratios) add(o ratios) {
-	r.fail += o.fail
-	r.slow += o.slow
+func (r ratios) plus(o ratios) ratios { return ratios{r.fail + o.fail, r.slow + o.slow} }
+
+func (r ratios) max() float64 { return max(r.fail, r.slow) }
+
+// tally holds the sums of a route, or of all routes.
+type tally struct {
+	// accept are the sums since the new servers were old enough.
+	accept ratios
+	// slowKnown is set once the old version's responses have shown what is slow.
+	slowKnown bool
+	// failures and slowness are the sums that reject the version.
+	failures, slowness rejection
 }
 
-// comparison compares the responses of both versions since a starting point.
-type comparison struct {
-	ratios  // of all routes
-	domains map[uint32]*ratios
-	routes  map[uint32]*routeComparison
-	old     float64
+func (t *tally) add(domains map[uint32]ratios, slowKnown bool) {
+	t.slowKnown = t.slowKnown || slowKnown
+	for domain, r := range domains {
+		t.accept = t.accept.plus(r)
+		t.failures.add(domain, r.fail)
+		t.slowness.add(domain, r.slow)
+	}
+	t.failures.restart()
+	t.slowness.restart()
 }
 
-type routeComparison struct {
-	ratios
-	domains  map[uint32]*ratios
-	new, old float64
-	// pooled has the old version's responses of all failure domains; slowFrom is the first class of slow responses.
-	pooled   Counts
-	slowFrom int
+// clean reports whether the route's responses alone show that the version is not bad.
+func (t *tally) clean() bool {
+	return t.accept.fail <= acceptAt && (t.accept.slow <= acceptAt || !t.slowKnown)
 }
 
-func newComparison(total, start Evidence, allNew bool) *comparison {
-	c := &comparison{domains: map[uint32]*ratios{}, routes: map[uint32]*routeComparison{}}
-	since := make(map[Key]*[2]Counts, len(total))
-	for k, pair := range total {
-		delta := *pair
-		if before := start[k]; before != nil {
-			delta[New] = pair[New].minus(&before[New])
-			if !allNew {
-				delta[Old] = pair[Old].minus(&before[Old])
-			}
-		}
-		since[k] = &delta
-		route := c.routes[k.Route]
-		if route == nil {
-			route = &routeComparison{domains: map[uint32]*ratios{}}
-			c.routes[k.Route] = route
-		}
-		route.pooled.add(&delta[Old])
+func (t *tally) strongest(name string) (reason string, sum float64) {
+	if fail, slow := t.failures.value(), t.slowness.value(); fail < slow {
+		return "slow responses, " + name, slow
 	}
-	for _, route := range c.routes {
-		route.slowFrom = slowClass(&route.pooled, allNew)
-		route.old = float64(route.pooled.Answered() + route.pooled.Failed)
-		c.old += route.old
+	return "failed responses, " + name, t.failures.value()
+}
+
+// rejection is a sum that never falls below 0, with the parts of the failure domains.
+type rejection struct {
+	sum     float64
+	domains map[uint32]float64
+}
+
+func (r *rejection) add(domain uint32, ratio float64) {
+	if ratio == 0 {
+		return
+	}
+	if r.domains == nil {
+		r.domains = map[uint32]float64{}
+	}
+	r.sum += ratio
+	r.domains[domain] += ratio
+}
+
+func (r *rejection) restart() {
+	if r.sum < 0 {
+		r.sum, r.domains = 0, nil
+	}
+}
+
+// value returns the sum, or less than rejectAt if it comes from one of several failure domains.
+func (r *rejection) value() float64 {
+	largest := 0.0
+	for _, part := range r.domains {
+		largest = max(largest, part)
 	}
-	for k, pair := range since {
-		route := c.routes[k.Route]
-		route.new += float64(pair[New].Answered() + pair[New].Failed)
-		r := route.compare(pair)
-		route.add(r)
-		c.add(r)
-		addDomain(route.domains, k.Domain, r)
-		addDomain(c.domains, k.Domain, r)
+	if len(r.domains) > 1 && r.sum-largest < otherDomainsAt {
+		return min(r.sum, rejectAt/2)
 	}
-	return c
+	return r.sum
 }
 
-func addDomain(domains map[uint32]*ratios, domain uint32, r ratios) {
-	if domains[domain] == nil {
-		domains[domain] = &ratios{}
+// poolRoutes sums the old version's counts of all failure domains by route.
+func poolRoutes(e Evidence) map[uint32]*Counts {
+	routes := map[uint32]*Counts{}
+	for k, pair := range e {
+		if routes[k.Route] == nil {
+			routes[k.Route] = &Counts{}
+		}
+		routes[k.Route].add(&pair[Old])
 	}
-	domains[domain].add(r)
+	return routes
 }
 
 // slowClass returns the first time class of slow responses; Buckets if none is slow.
-func slowClass(old *Counts, allNew bool) int {
+func slowClass(lately, always *Counts, allNew bool) int {
+	old := lately
+	if old == nil || old.Answered() < slowSamples {
+		old = always
+	}
 	answered := float64(old.Answered())
 	if allNew || answered < slowSamples {
 		return Buckets
@@ -236,32 +311,49 @@
 	return min(class+slowSteps-1, Buckets)
 }
 
-// compare returns the evidence of the responses in one failure domain.
-func (c *routeComparison) compare(pair *[2]Counts) ratios {
-	fresh, old := &pair[New], &pair[Old]
+// comparison compares the responses of one route in one interval. always, lately and now are the old version's responses
+// in all failure domains: since the order, in the last intervals and in this one.
+type comparison struct {
+	always, lately, now *Counts
+	slowFrom            int
+}
+
+// compare returns the ratios of the responses in one failure domain; recent are the last ones there.
+func (c *comparison) compare(pair, recent *[2]Counts) ratios {
+	fresh := &pair[New]
 	answered, failed := float64(fresh.Answered()), float64(fresh.Failed)
-	pooledAnswered, oldAnswered := float64(c.pooled.Answered()), float64(old.Answered())
-	expected := rate(float64(c.pooled.Failed), pooledAnswered)
-	if oldAnswered+float64(old.Failed) >= domainSamples {
-		expected = max(expected, rate(float64(old.Failed), oldAnswered))
+	if answered+failed == 0 {
+		return ratios{}
 	}
-	out := ratios{fail: logRatio(failed, answered, expected, badFailures)}
+	out := ratios{fail: logRatio(failed, answered, c.expected(recent, func(o *Counts) (float64, float64) {
+		return float64(o.Failed), float64(o.Answered())
+	}), badFailures)}
 	if c.slowFrom < Buckets {
-		expected := rate(c.pooled.tail(c.slowFrom), pooledAnswered-c.pooled.tail(c.slowFrom))
-		if oldAnswered >= domainSamples {
-			expected = max(expected, rate(old.tail(c.slowFrom), oldAnswered-old.tail(c.slowFrom)))
-		}
 		slow := fresh.tail(c.slowFrom)
-		out.slow = logRatio(slow, answered-slow, expected, badSlow)
+		out.slow = logRatio(slow, answered-slow, c.expected(recent, func(o *Counts) (float64, float64) {
+			tail := o.tail(c.slowFrom)
+			return tail, float64(o.Answered()) - tail
+		}), badSlow)
 	}
 	return out
 }
 
-// rate returns the rate of events that the new version is allowed.
-func rate(events, others float64) float64 {
+// expected returns the rate that the new version is allowed: the highest of the old one's rates over the whole rollout, in
+// the same seconds and there in the same failure domain.
+func (c *comparison) expected(recent *[2]Counts, count func(*Counts) (events, others float64)) float64 {
+	events, others := count(c.always)
 	n := events + others + priorResponses
 	r := (events + priorFailures) / n
-	return min(r+max(margin, uncertainty*math.Sqrt(r*(1-r)/n)), 1-margin)
+	highest := r + max(margin, uncertainty*math.Sqrt(r*(1-r)/n))
+	for _, same := range []*Counts{c.lately, c.now, &recent[Old]} {
+		if same == nil {
+			continue
+		}
+		if events, others := count(same); events+others >= domainSamples {
+			highest = max(highest, events/(events+others)+margin)
+		}
+	}
+	return min(highest, 1-margin)
 }
 
 // logRatio returns the log of the ratio of the probabilities of the counts if a further part of the responses is bad, and
@@ -270,65 +362,3 @@
 	worse := expected + part*(1-expected)
 	return bad*math.Log(worse/expected) + good*math.Log((1-worse)/(1-expected))
 }
-
-// worst returns the strongest evidence against the new version. Evidence that comes from one of several failure domains
-// counts as less than rejectAt.
-func (c *comparison) worst() (reason string, ratio float64) {
-	reason, ratio = strongest("all routes", c.ratios, c.domains)
-	for hash, route := range c.routes {
-		if r, value := strongest(fmt.Sprintf("route %08x", hash), route.ratios, route.domains); value > ratio {
-			reason, ratio = r, value
-		}
-	}
-	return reason, ratio
-}
-
-func strongest(name string, sum ratios, domains map[uint32]*ratios) (reason string, ratio float64) {
-	without := func(part func(*ratios) float64) float64 {
-		total, largest := part(&sum), 0.0
-		for _, d := range domains {
-			largest = max(largest, part(d))
-		}
-		evident := 0
-		for _, d := range domains {
-			if part(d) != 0 {
-				evident++
-			}
-		}
-		if evident > 1 && total-largest < otherDomainsAt {
-			return min(total, rejectAt/2)
-		}
-		return total
-	}
-	fail, slow := without(func(r *ratios) float64 { return r.fail }), without(func(r *ratios) float64 { return r.slow })
-	if fail >= slow {
-		return "failed responses, " + name, fail
-	}
-	return "slow responses, " + name, slow
-}
-
-// clean reports whether each route with a relevant part of the requests is not bad.
-func (c *comparison) clean() bool {
-	if !c.cleanTogether() {
-		return false
-	}
-	for _, route := range c.routes {
-		if route.old+route.new < minorRoute*c.old {
-			continue
-		}
-		if route.fail > acceptAt || route.slowFrom < Buckets && route.slow > acceptAt {
-			return false
-		}
-	}
-	return true
-}
-
-// cleanTogether reports whether the responses of all routes together are not bad, and no route contradicts.
-func (c *comparison) cleanTogether() bool {
-	for _, route := range c.routes {
-		if route.fail > contradictAt || route.slow > contradictAt {
-			return false
-		}
-	}
-	return c.fail <= acceptTogetherAt && c.slow <= acceptTogetherAt
-}
--- a/pkg/rollout/replay_test.go
+++ b/pkg/rollout/replay_test.go
@@ -98,7 +98,7 @@
 
 func (r *replay) share(n *replayNode, route uint32, now time.Time) (Version, int) {
 	canaries := min(n.rollout.Canaries(now), r.servers)
-	if n.rollout.Limited() && !n.gate.Allows(replayBounds) || r.random.Float64() >= n.rollout.RouteShare(route, now) {
+	if !n.rollout.Allows(n.gate, now) || r.random.Float64() >= n.rollout.RouteShare(route, now) {
 		return Old, 0
 	}
 	return New, r.random.IntN(canaries)
@@ -112,6 +112,9 @@
 		if r.restart && restarted.IsZero() && !now.Before(r.faultAt) {
 			restarted = now
 			r.startNodes(now, 0)
+			for _, n := range r.nodes {
+				n.rollout.Adopt(written, "", now)
+			}
 		}
 		if restarted.IsZero() || now.Sub(restarted) > 800*time.Millisecond {
 			r.arrive(now)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -73,6 +73,8 @@
 	canaryShare  = 0.5
 	provingShare = 1.2
 	capShare     = 0.88
+	// fewCanaryShare replaces canaryShare for a service with few servers, which needs the rest for its burst.
+	fewCanaryShare = 0.3
 	// slackShare is the part of ExposureSlack that is spent on canary requests.
 	slackShare = 0.4
 	// rampShare is the share of requests in the step between the canary and all requests.
@@ -98,6 +100,9 @@
 	// the share of a route with few requests.
 	minRouteSamples = 40
 	maxRouteShare   = 0.25
+	// cleanRouteFactor and otherRouteFactor change the share of a route that has shown that the version is not bad there,
+	// and that of the others.
+	cleanRouteFactor, otherRouteFactor = 0.3, 2.0
 	// burstPart is when a service with few servers begins to send a single new server as many requests as an old one
 	// gets. The Gate then allows this for about two seconds.
 	burstPart = 0.45
@@ -182,8 +187,10 @@
 	if r.phase.Decided() {
 		return false
 	}
-	r.Judge.snapshot(now)
-	r.verdict = r.Judge.judge(now, r.provenAt(), r.phase == All)
+	verdict, judged := r.Judge.judge(now, r.provenAt(), r.phase == All)
+	if judged {
+		r.verdict = verdict
+	}
 	if !r.verdict.Bad {
 		return false
 	}
@@ -243,6 +250,9 @@
 		case r.newSince.IsZero():
 			return 0
 		case now.Before(r.provenAt()):
+			if r.fewServers() {
+				return fewCanaryShare * r.bounds.ExposureShare
+			}
 			return canaryShare * r.bounds.ExposureShare
 		case r.fewServers():
 			return 1 / float64(max(r.servers, 2))
@@ -260,7 +270,17 @@
 // larger share in the canary phase, unless there are few servers; the Gate limits all routes together.
 func (r *Rollout) RouteShare(route uint32, now time.Time) float64 {
 	share := r.share(now)
-	if r.phase != Canary || share == 0 || r.fewServers() {
+	if r.phase != Canary || share == 0 {
+		return share
+	}
+	if now.After(r.provenAt()) {
+		factor := otherRouteFactor
+		if r.verdict.cleanRoutes[route] {
+			factor = cleanRouteFactor
+		}
+		share *= factor
+	}
+	if r.fewServers() {
 		return share
 	}
 	if rate := r.Judge.routeRate(route, now.Sub(r.Start)); rate > 0 {
@@ -294,5 +314,14 @@
 	return max(1, int(math.Round(r.share(now)*float64(r.servers))))
 }
 
-// Limited reports whether the Gate limits the requests to the new version.
-func (r *Rollout) Limited() bool { return r.phase == Canary }
+// Allows reports whether the node with this gate may send another request to the new version. In the canary phase its
+// part is a share of the requests so far, in the ramp of those that are expected until the time limit.
+func (r *Rollout) Allows(g *Gate, now time.Time) bool {
+	switch r.phase {
+	case Canary:
+		return g.allows(r.bounds, 1)
+	case Ramp:
+		return g.allows(r.bounds, max(1, float64(r.Duration)/float64(max(now.Sub(r.Start), time.Millisecond))))
+	}
+	return true
+}
