--- a/internal/edge/configview.go
+++ b/internal/edge/configview.go
@@ -21,6 +21,8 @@
 	log     *logrus.Entry
 	// onChange is called with each new configuration before requests see it.
 	onChange func(*serving.Config)
+	// onRow is called with each other row of the operators' table, and again with rows that are read again.
+	onRow func(platform.Row)
 	// onStoreChange is called after this node has read a new version from the store. Nodes that do not read the store
 	// learn of it from heartbeats, whose interval grows with the number of nodes.
 	onStoreChange func()
@@ -125,6 +127,7 @@
 
 func (v *configView) applyRow(row platform.Row) {
 	if row.Key != v.names.ConfigKey {
+		v.onRow(row)
 		return
 	}
 	before := v.Version()
--- a/internal/edge/crashdetector.go
+++ b/internal/edge/crashdetector.go
@@ -43,6 +43,8 @@
 	log     *logrus.Entry
 	// isLeaving reports whether a server has said that it leaves; it is no crash then.
 	isLeaving func(s serving.Server, now time.Time) bool
+	// crashed is called with each sign of a crash.
+	crashed func(s serving.Server, now time.Time)
 
 	mu      sync.Mutex
 	servers map[string]serving.Server
@@ -55,7 +57,7 @@
 }
 
 func newCrashDetector(node string, m *metrics.Set, log *logrus.Entry) *crashDetector {
-	return &crashDetector{metrics: m, log: log, isLeaving: func(serving.Server, time.Time) bool { return false },
+	return &crashDetector{metrics: m, log: log, isLeaving: func(serving.Server, time.Time) bool { return false }, crashed: func(serving.Server, time.Time) {},
 		servers: map[string]serving.Server{}, lastLogged: map[string]strike.Record{},
 		tracker: strike.New(strike.Options{Node: node, Window: crashWindow, Delay: crashDelay, Linger: crashLinger,
 			Expiry: crashExpiry, MaxRecords: maxCrashRecords})}
@@ -187,6 +189,7 @@
 }
 
 func (d *crashDetector) recordCrash(s serving.Server, sign string, now time.Time) {
+	d.crashed(s, now)
 	hadNotice := s.State != serving.Ready || d.isLeaving(s, now)
 	runs, recorded := d.tracker.RecordCrash(strike.Crash{Server: s.ID, Domain: s.Domain, Started: s.Born, HadNotice: hadNotice}, now)
 	if !recorded {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -125,6 +125,7 @@
 		refusedAt: map[string]time.Time{}, final: map[int64]map[string]int64{},
 		initialServers: map[string]int{}, fleetSettled: map[string]bool{},
 		reported: map[int64]bool{}}
+	n.rollouts.newTerm()
 	ticker := time.NewTicker(dutyInterval)
 	defer ticker.Stop()
 	for {
@@ -181,6 +182,7 @@
 func (h *dutyHolder) step(ctx context.Context, now time.Time) {
 	h.reportUsage(ctx, now)
 	h.orderServers(ctx, now)
+	h.writeRollouts(ctx)
 	h.deleteStaleRows(ctx, now)
 }
 
--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -23,14 +23,14 @@
 		Ready: n.viewsLoaded(), Leaving: n.stopping.Load(), ConfigVersion: n.config.Version(), Servers: n.servers.state(now),
 		HoldsDuties: n.holdsDuties.Load(), StoreLost: n.peers.readers.lost.Load() > 0,
 		Changes: n.servers.heartbeatChanges(n.peers.heartbeatInterval(), now), NewsOnly: true, StoreEra: era, Cores: float32(n.settings.Cores),
-		ConfigBytes: n.config.size(),
+		ConfigBytes: n.config.size(), Rollouts: n.rollouts.export(true, now),
 	}
 }
 
 // composeHeartbeat returns this node's full heartbeat.
 func (n *Node) composeHeartbeat(now time.Time) *pb.PeerBeat {
 	b := n.composeUrgent(now)
-	b.NewsOnly = false
+	b.NewsOnly, b.Rollouts = false, n.rollouts.export(false, now)
 	b.Crashes, b.Parts, b.Trials, b.Demand = n.crashes.export(now), n.crashes.exportParts(now), n.crashes.tracker.Trials(now), n.demand.export(now)
 	if at := n.crashes.tracker.LastServed(); !at.IsZero() {
 		b.ServedAgeMs = proto.Uint32(strikewire.AgeMillis(at, now))
@@ -57,6 +57,7 @@
 // handleHeartbeat applies a heartbeat received from another node.
 func (n *Node) handleHeartbeat(heartbeat *pb.PeerBeat, now time.Time) {
 	n.store.ObserveEra(heartbeat.StoreEra)
+	n.rollouts.handleHeartbeat(heartbeat, now)
 	if heartbeat.NewsOnly {
 		n.fetcher.handleHeartbeat(heartbeat, now)
 		return
--- a/internal/edge/interfaces.go
+++ b/internal/edge/interfaces.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pollenlug/pollenlug/pkg/elastic"
 	"github.com/pollenlug/pollenlug/pkg/platform"
+	"github.com/pollenlug/pollenlug/pkg/rollout"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 )
 
@@ -25,8 +27,34 @@
 type Records interface {
 	Config(value []byte) (*serving.Config, error)
 	Server(key string, value []byte) (serving.Server, error)
+	// RolloutService returns the service of a row with an order or status of a rollout; false for other rows.
+	RolloutService(key string) (service string, ok bool)
+	// RolloutKey is the key of the order and of the status of a service's rollout.
+	RolloutKey(service string) string
+	// RolloutOrder decodes an order. The version of its row is not set.
+	RolloutOrder(key string, value []byte) (rollout.Order, error)
+	RolloutStatus(value []byte) (RolloutStatus, error)
+	EncodeRolloutStatus(s RolloutStatus) ([]byte, error)
 }
 
+// RolloutStatus is the row that tells the operator how a rollout goes, and a later duty holder where to continue.
+type RolloutStatus struct {
+	To      string
+	Outcome RolloutOutcome
+	// OrderedAt is when the order arrived; zero if the row does not say so.
+	OrderedAt time.Time
+}
+
+// RolloutOutcome is the state of a rollout in the store.
+type RolloutOutcome uint8
+
+// States of a rollout in the store.
+const (
+	RolloutInProgress RolloutOutcome = iota + 1
+	RolloutCompleted
+	RolloutReverted
+)
+
 // Store is the platform's store.
 type Store interface {
 	platform.Table
@@ -45,6 +73,7 @@
 // Names are the tables and keys written by other systems, and the paths called by the platform and by callers.
 type Names struct {
 	OperatorTable, ConfigKey, ServerTable string
+	StatusTable                           string
 	ReadyPath, DirectoryPath              string
 	// DomainParameter is the query parameter in which callers send their failure domain to DirectoryPath.
 	DomainParameter string
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -92,6 +92,7 @@
 	pauses              *pauseGuard
 	// finalUsage holds the usage counts that this node has made final, also those of its earlier terms.
 	finalUsage *finalUsage
+	rollouts   *rollouts
 	demand     *demandMeter
 	memory     *memoryAccount
 
@@ -128,9 +129,11 @@
 	n.prober = &crashProber{dial: netdial.Dial(serverDialTimeout), log: o.Log, remaining: map[string]int{},
 		crashed: func(s serving.Server, now time.Time) { n.crashes.recordCrash(s, "probe_refused", now) }}
 	n.demand = newDemandMeter(now)
+	n.rollouts = newRollouts(o)
+	n.crashes.crashed = n.rollouts.serverCrashed
 	n.memory = newMemoryAccount(o.Settings.MemoryBytes)
 	n.callers = &callerConns{log: o.Log, limits: n.callerLimits, conns: map[net.Conn]*callerConn{}}
-	n.config = &configView{store: o.Store, records: o.Records, names: o.Names, log: o.Log, onChange: n.configChanged}
+	n.config = &configView{store: o.Store, records: o.Records, names: o.Names, log: o.Log, onChange: n.configChanged, onRow: n.rollouts.applyRow}
 	n.servers = &serverView{store: o.Store, records: o.Records, table: o.Names.ServerTable, log: o.Log,
 		onChange: n.serversChanged, entries: map[string]*serverEntry{}}
 	n.fetcher = newFetcher(n.config, n.servers, o.Log)
@@ -147,6 +150,8 @@
 	isWriter := func() bool { return readers.lost.Load() == 0 && n.peers.readerRank() == 0 }
 	n.quarantinedRequests = newQuarantineRows(requestQuarantineTable, requestQuarantines{n.crashes.tracker}, n.crashes, o.Store, o.Store.Snapshot, isWriter)
 	n.quarantinedParts = newQuarantineRows(partQuarantineTable, partQuarantines{n.crashes.tracker}, n.crashes, o.Store, o.Store.Snapshot, isWriter)
+	n.rollouts.announce, n.rollouts.leads, n.rollouts.isLeaving = n.peers.requestUrgent, n.leadsRollouts, n.board.IsLeaving
+	n.rollouts.trafficPart, n.rollouts.streams = n.trafficPart, n.streams
 	n.servers.heartbeatInterval, n.servers.onStoreChange, n.config.onStoreChange =
 		n.peers.heartbeatInterval, n.peers.requestUrgent, n.peers.requestUrgent
 	return n
@@ -167,7 +172,7 @@
 	}
 	var work sync.WaitGroup
 	for _, run := range []func(context.Context){n.config.watch, n.servers.watch, n.peers.run, n.peers.register,
-		n.crashes.run, n.callers.run, n.logSummaries, n.estimateUnreported, n.pauses.run} {
+		n.crashes.run, n.callers.run, n.logSummaries, n.estimateUnreported, n.pauses.run, n.rollouts.run, n.loadStatus} {
 		work.Go(func() { run(background) })
 	}
 	work.Go(func() { n.quarantinedRequests.run(background, n.settings.FirstStart) })
@@ -303,6 +308,7 @@
 
 func (n *Node) serversChanged(servers []serving.Server) {
 	n.crashes.serversChanged(servers, time.Now())
+	n.rollouts.setServers(servers, time.Now())
 	n.board.SetServers(servers)
 	groups := map[string][]string{}
 	for _, s := range servers {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -54,7 +54,7 @@
 	}
 	for _, s := range h.n.board.Servers(service.Name) {
 		i, ok := index[s.Domain]
-		if !ok || s.State != serving.Ready {
+		if !ok || s.State != serving.Ready || !h.n.rollouts.carriesLoad(&s) {
 			continue
 		}
 		if s.Reclaimable {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -172,10 +172,15 @@
 	now := time.Now()
 	choice := placement.Choice{Service: req.service.Name, Exclude: req.triedServers, Allowed: n.outliers.Allow}
 	var ticket *placement.Ticket
-	if req.service.Engine == nil {
-		ticket = n.board.PickPlain(choice, now)
-	} else {
-		ticket = n.board.PickEngine(placement.EngineRequest{Choice: choice, Prompt: req.Prompt, PromptTokens: req.PromptTokens}, now)
+	for _, choice.Eligible = range n.rollouts.choices(req, now) {
+		if req.service.Engine == nil {
+			ticket = n.board.PickPlain(choice, now)
+		} else {
+			ticket = n.board.PickEngine(placement.EngineRequest{Choice: choice, Prompt: req.Prompt, PromptTokens: req.PromptTokens}, now)
+		}
+		if ticket != nil {
+			break
+		}
 	}
 	if req.service.Engine == nil && req.sends == 0 {
 		n.demand.add(req.service.Name, 0, 0, now)
@@ -208,6 +213,7 @@
 // sendTo sends a request to one server and reports the outcome to the load, outlier and crash tracking.
 func (n *Node) sendTo(ctx context.Context, req *request, stream *streamRelay, ticket *placement.Ticket, run *strike.Run) sendResult {
 	var result sendResult
+	req.versionAttempt = n.rollouts.begin(req, ticket.Server, time.Now())
 	if req.route.Stream {
 		result = stream.send(ctx, ticket, run)
 	} else {
@@ -215,6 +221,7 @@
 	}
 	result.ticket = ticket
 	now := time.Now()
+	n.rollouts.end(ctx, req.versionAttempt, result, now)
 	switch result.status {
 	case delivered:
 		if result.connLost {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -66,6 +66,8 @@
 	sentAt     time.Time
 	firstEvent time.Duration
 	prefill    float64
+	// versionAttempt is the attempt in progress if it is evidence for a rollout.
+	versionAttempt *versionAttempt
 	// refusalTimeLeft is the time left until the deadline when the request was refused because its first event was
 	// expected too late.
 	refusalTimeLeft time.Duration
--- /dev/null
+++ b/internal/edge/rollout.go
@@ -0,0 +1,402 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/logline"
+	"github.com/pollenlug/pollenlug/internal/metrics"
+	"github.com/pollenlug/pollenlug/pkg/rollout"
+	"github.com/pollenlug/pollenlug/pkg/serving"
+)
+
+const (
+	// rolloutInterval is how often a node judges the evidence of its rollouts.
+	rolloutInterval = 250 * time.Millisecond
+	// rolloutSilence is how long a node may hear nothing of the node that leads a rollout until it sends everything to the
+	// version in force again. It exceeds the time in which another node takes over.
+	rolloutSilence = 3 * time.Second
+	// lostSettleTime is how long after the loss of a connection it is known whether its server has crashed or left. Only
+	// if neither, the loss counts against the version.
+	lostSettleTime = 900 * time.Millisecond
+	// maxLostAttempts limits the attempts that wait for lostSettleTime.
+	maxLostAttempts = 1000
+	// maxRollouts limits the services whose rollouts a node follows.
+	maxRollouts = 64
+	// crashMemory is how long a crash explains lost connections.
+	crashMemory = 5 * time.Second
+)
+
+// rollouts chooses the version of the servers for each request. Package rollout decides; this part collects what it needs
+// to know. It is safe for concurrent use.
+type rollouts struct {
+	bounds  rollout.Bounds
+	records Records
+	log     *logrus.Entry
+	metrics *metrics.Set
+	// announce sends an urgent heartbeat; leads reports whether this node decides on the phases; isLeaving whether a server
+	// has said that it leaves; trafficPart returns this node's part of the requests of a service; streams reports whether a
+	// route of a service streams.
+	announce    func()
+	leads       func(now time.Time) bool
+	isLeaving   func(s serving.Server, now time.Time) bool
+	trafficPart func(service string, now time.Time) float64
+	streams     func(service string) bool
+
+	mu       sync.Mutex
+	services map[string]*serviceVersions
+	// statusLoaded is set once the states of earlier rollouts are known; orders that arrive before wait.
+	statusLoaded  bool
+	waitingOrders []rollout.Order
+	lost          []lostAttempt
+	crashedAt     map[serverProcess]time.Time
+}
+
+// serverProcess is one process of a server.
+type serverProcess struct {
+	id   string
+	born int64
+}
+
+// lostAttempt is an attempt whose connection broke.
+type lostAttempt struct {
+	*versionAttempt
+	at time.Time
+}
+
+// serviceVersions is what is known of the versions of a service.
+type serviceVersions struct {
+	inForce string
+	servers []serving.Server
+	// ready is the number of ready servers of each version, firstSeen when this node first saw the ready ones.
+	ready     map[string]int
+	firstSeen map[serverProcess]time.Time
+	// state is the last rollout, or nil; gate and recorder belong to it.
+	state    *rollout.Rollout
+	gate     *rollout.Gate
+	recorder *rollout.Recorder
+	// canaryRank is the rank of each new server among those that get canary requests.
+	canaryRank map[string]int
+	// newSince is when the first canaries started.
+	newSince time.Time
+	heardAt  time.Time
+	stored   storedStatus
+}
+
+func newRollouts(o Options) *rollouts {
+	return &rollouts{bounds: o.Settings.Rollout, records: o.Records, log: o.Log, metrics: o.Metrics, statusLoaded: o.Settings.FirstStart,
+		services: map[string]*serviceVersions{}, crashedAt: map[serverProcess]time.Time{}}
+}
+
+func (r *rollouts) enabled() bool { return r.bounds.Enabled() }
+
+// run judges the rollouts until ctx ends.
+func (r *rollouts) run(ctx context.Context) {
+	for r.enabled() && clock.Sleep(ctx, rolloutInterval) {
+		r.step(time.Now())
+	}
+}
+
+func (r *rollouts) step(now time.Time) {
+	leads := r.leads(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settleLost(now)
+	for name, s := range r.services {
+		if s.state == nil || s.state.Phase().Final() {
+			continue
+		}
+		in := rollout.Input{Now: now, OldServers: s.ready[s.state.From], NewServers: s.ready[s.state.To], NewSince: s.newSince,
+			Streams: r.streams(name)}
+		s.state.SetServers(in)
+		s.state.Judge.Set(ownEvidence, s.recorder.Export(now))
+		changed := s.state.Observe(now)
+		if leads {
+			s.heardAt = now
+			changed = s.state.Advance(in) || changed
+		}
+		if changed {
+			r.changed(name, s)
+		}
+	}
+}
+
+// ownEvidence is the name of this node's own counts.
+const ownEvidence = ""
+
+// changed reports a new phase. The caller holds mu.
+func (r *rollouts) changed(service string, s *serviceVersions) {
+	verdict := s.state.Verdict()
+	exposed, requests := s.gate.Exposed()
+	r.metrics.Count("rollout_changes", "phase", s.state.Phase().String(), 1)
+	r.log.WithFields(logrus.Fields{"service": service, "from": s.state.From, "to": s.state.To, "phase": s.state.Phase().String(),
+		logline.Reason: s.state.Reason, "responses": verdict.Responses, "failed": verdict.Failed, "evidence": verdict.Evidence,
+		"sent": exposed, "requests": requests}).Info(logline.RolloutChanged)
+	r.updateInForce(s)
+	r.announce()
+}
+
+// versions returns the entry of a service, or nil if there are too many. The caller holds mu.
+func (r *rollouts) versions(service string) *serviceVersions {
+	s := r.services[service]
+	if s == nil && len(r.services) < maxRollouts {
+		s = &serviceVersions{ready: map[string]int{}, firstSeen: map[serverProcess]time.Time{}}
+		r.services[service] = s
+	}
+	return s
+}
+
+// setServers records the servers of all services.
+func (r *rollouts) setServers(servers []serving.Server, now time.Time) {
+	if !r.enabled() {
+		return
+	}
+	groups := map[string][]serving.Server{}
+	for _, s := range servers {
+		groups[s.Service] = append(groups[s.Service], s)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range groups {
+		r.versions(name)
+	}
+	for name, s := range r.services {
+		s.setServers(groups[name], now)
+		r.updateInForce(s)
+	}
+}
+
+func (s *serviceVersions) setServers(servers []serving.Server, now time.Time) {
+	s.servers, s.ready = servers, map[string]int{}
+	seen := make(map[serverProcess]time.Time, len(servers))
+	for _, server := range servers {
+		if server.State != serving.Ready {
+			continue
+		}
+		s.ready[server.Version]++
+		process := serverProcess{server.ID, server.Born}
+		if at, ok := s.firstSeen[process]; ok {
+			seen[process] = at
+		} else {
+			seen[process] = now
+		}
+	}
+	s.firstSeen = seen
+	s.rankCanaries()
+}
+
+// rankCanaries orders the new servers in the same way on all nodes, so that few of them get all canary requests. Servers
+// of different failure domains alternate.
+func (s *serviceVersions) rankCanaries() {
+	s.canaryRank, s.newSince = nil, time.Time{}
+	if s.state == nil {
+		return
+	}
+	domains := map[string][]serving.Server{}
+	for _, server := range s.servers {
+		if server.State == serving.Ready && server.Version == s.state.To {
+			domains[server.Domain] = append(domains[server.Domain], server)
+		}
+	}
+	type ranked struct {
+		server serving.Server
+		round  int
+	}
+	var order []ranked
+	for _, list := range domains {
+		slices.SortFunc(list, byHash)
+		for i, server := range list {
+			order = append(order, ranked{server, i})
+		}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		if a.round != b.round {
+			return a.round - b.round
+		}
+		return byHash(a.server, b.server)
+	})
+	s.canaryRank = make(map[string]int, len(order))
+	var started []time.Time
+	for i, o := range order {
+		s.canaryRank[o.server.ID] = i
+		started = append(started, s.startOf(o.server))
+	}
+	if len(started) > 0 {
+		started = started[:min(len(started), canariesForAge)]
+		slices.SortFunc(started, time.Time.Compare)
+		s.newSince = started[len(started)/2]
+	}
+}
+
+// canariesForAge is the number of canaries whose median start counts as that of the new version.
+const canariesForAge = 5
+
+func byHash(a, b serving.Server) int {
+	ha, hb := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)
+	switch {
+	case ha < hb:
+		return -1
+	case ha > hb:
+		return 1
+	}
+	return 0
+}
+
+// startOf returns when a server's process started, as far as this node knows. The clocks of two machines may differ, so it
+// is at most startSkew before this node saw it, unless the node itself has just started.
+func (s *serviceVersions) startOf(server serving.Server) time.Time {
+	seen := s.firstSeen[serverProcess{server.ID, server.Born}]
+	if born := time.UnixMilli(server.Born); server.Born > 0 && born.Before(seen) && s.state.Start.Before(seen.Add(-startSkew)) {
+		return born
+	}
+	return seen
+}
+
+// updateInForce determines the version in force: the one that was, as long as it has servers, else the one of most
+// servers. A version that is being rolled out or was reverted is in force only if no other one has servers.
+func (r *rollouts) updateInForce(s *serviceVersions) {
+	excluded, hasExcluded := "", false
+	if s.state != nil {
+		switch s.state.Phase() {
+		case rollout.Completed:
+			if s.ready[s.state.To] > 0 {
+				s.inForce = s.state.To
+				return
+			}
+		default:
+			excluded, hasExcluded = s.state.To, s.state.To != s.state.From
+		}
+	}
+	if s.ready[s.inForce] > 0 && !(hasExcluded && s.inForce == excluded) {
+		return
+	}
+	best, most := "", 0
+	for version, n := range s.ready {
+		if hasExcluded && version == excluded {
+			continue
+		}
+		if n > most || n == most && version < best {
+			best, most = version, n
+		}
+	}
+	switch {
+	case most > 0:
+		s.inForce = best
+	case hasExcluded && s.ready[excluded] > 0 && s.inForce == "":
+		s.inForce = excluded
+	}
+	if s.state != nil && s.state.From == "" && most > 0 {
+		s.state.From = s.inForce
+	}
+}
+
+// filter selects the servers that a request may be sent to.
+type filter = func(*serving.Server) bool
+
+func ofVersion(version string) filter {
+	return func(s *serving.Server) bool { return s.Version == version }
+}
+
+// choices returns filters of the servers for the next send of a request; the first one with a candidate applies. nil
+// allows all servers.
+func (r *rollouts) choices(req *request, now time.Time) []filter {
+	if !r.enabled() {
+		return []filter{nil}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[req.service.Name]
+	if s == nil || s.state == nil && len(s.ready) < 2 {
+		return []filter{nil}
+	}
+	if s.state == nil {
+		return []filter{ofVersion(s.inForce)}
+	}
+	old, fresh := ofVersion(s.inForce), ofVersion(s.state.To)
+	switch phase := s.state.Phase(); {
+	case phase == rollout.Completed:
+		return []filter{old} // the new version is in force
+	case phase == rollout.Reverting || phase == rollout.Reverted:
+		return s.withFallback(old, fresh)
+	case now.Sub(s.heardAt) > rolloutSilence:
+		return s.withFallback(old, fresh)
+	case phase == rollout.All || phase == rollout.Completing:
+		return []filter{fresh, old}
+	}
+	if len(req.triedServers) > 0 || !s.state.Allows(s.gate, now) || rand.Float64() >= s.state.RouteShare(nameHash(req.route.Name), now) {
+		return s.withFallback(old, fresh)
+	}
+	ranks, canaries, version := s.canaryRank, s.state.Canaries(now), s.state.To
+	canary := func(server *serving.Server) bool {
+		rank, ok := ranks[server.ID]
+		return ok && server.Version == version && rank < canaries
+	}
+	return append([]filter{canary}, s.withFallback(old, fresh)...)
+}
+
+// withFallback returns the filter of the version in force, and the one of the new version if no server of the former is
+// left.
+func (s *serviceVersions) withFallback(old, fresh filter) []filter {
+	if s.ready[s.inForce] > 0 {
+		return []filter{old}
+	}
+	return []filter{old, fresh}
+}
+
+// carriesLoad reports whether a server counts as capacity for the load of its service. Servers that get canary requests
+// only do not.
+func (r *rollouts) carriesLoad(server *serving.Server) bool {
+	if !r.enabled() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[server.Service]
+	if s == nil || len(s.ready) < 2 {
+		return true
+	}
+	if s.state != nil && (s.state.Phase() == rollout.All || s.state.Phase() == rollout.Completing) {
+		return server.Version == s.state.To
+	}
+	return server.Version == s.inForce
+}
+
+// leadsRollouts reports whether this node decides on the phases of rollouts: the duty holder or, while none is known, the
+// first node. Two that do so for a moment are harmless, because phases only go forward.
+func (n *Node) leadsRollouts(now time.Time) bool {
+	return n.holdsDuties.Load() || !n.peers.dutyHolderAlive(now) && n.peers.nodeRank() == 0
+}
+
+// trafficPart returns this node's part of the requests of a service over all nodes.
+func (n *Node) trafficPart(service string, now time.Time) float64 {
+	own, all := 0.0, 0.0
+	for _, d := range n.demand.export(now) {
+		if d.Service == service {
+			own += float64(d.Requests)
+		}
+	}
+	for _, heartbeat := range n.peers.alive(now) {
+		for _, d := range heartbeat.Demand {
+			if d.Service == service {
+				all += float64(d.Requests)
+			}
+		}
+	}
+	if all += own; all == 0 {
+		return 1 / float64(n.peers.deploymentSize())
+	}
+	return own / all
+}
+
+// streams reports whether a route of the service streams.
+func (n *Node) streams(service string) bool {
+	c := n.config.Load()
+	return c != nil && c.Services[service] != nil && c.Services[service].Engine != nil
+}
--- a/internal/edge/serverview.go
+++ b/internal/edge/serverview.go
@@ -351,7 +351,7 @@
 // weaker hash the changes of two servers could cancel each other out.
 func entryDigest(s *serving.Server) uint64 {
 	var text []byte
-	for _, field := range []string{s.ID, s.Address, s.Service, s.Domain} {
+	for _, field := range []string{s.ID, s.Address, s.Service, s.Domain, s.Version} {
 		text = append(append(text, field...), 0)
 	}
 	text = binary.BigEndian.AppendUint64(text, uint64(s.Born))
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/pollenlug/pollenlug/pkg/rollout"
 )
 
 // Settings are the settings of one node. They are filled in by the platform's adapter.
@@ -33,7 +35,9 @@
 	// UsageWindow is the length of a usage window. Its report is due UsageDelay after its end.
 	UsageWindow, UsageDelay time.Duration
 	// DirectoryTTL is the maximum time that callers cache addresses.
-	DirectoryTTL         time.Duration
+	DirectoryTTL time.Duration
+	// Rollout limits what a bad version gets; without it, servers of several versions are all used.
+	Rollout              rollout.Bounds
 	StoreAddr, CloudAddr string
 }
 
@@ -49,6 +53,9 @@
 	if s.FailureDomain == "" {
 		return fmt.Errorf("failure domain: is missing")
 	}
+	if b := s.Rollout; b.ExposureShare < 0 || b.ExposureShare > 1 || b.ExposureSlack < 0 || b.Rollback < 0 {
+		return fmt.Errorf("rollout bounds: must not be negative, and the share at most 1")
+	}
 	if s.MemoryBytes <= 0 {
 		return fmt.Errorf("memory: must be positive")
 	}
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -105,6 +105,9 @@
 	key     Key
 	version Version
 	sentAt  time.Time
+	// answered is set once the first event has been counted, in bucket.
+	answered bool
+	bucket   int
 }
 
 // Recorder counts the outcomes of one node's attempts during a rollout.
@@ -125,26 +128,46 @@
 	return a
 }
 
-// Answered records the first event or the response of an attempt.
+// FirstEvent records the first event of an attempt that goes on.
+func (r *Recorder) FirstEvent(a *Attempt, elapsed time.Duration) {
+	if _, ok := r.open[a]; ok && !a.answered {
+		r.count(a, elapsed)
+	}
+}
+
+func (r *Recorder) count(a *Attempt, elapsed time.Duration) {
+	if pair := r.ended.at(a.key); pair != nil {
+		a.answered, a.bucket = true, bucketOf(elapsed)
+		pair[a.version].Times[a.bucket]++
+	}
+}
+
+// Answered records the end of an attempt that the server has answered, in the given time if it had no first event.
 func (r *Recorder) Answered(a *Attempt, elapsed time.Duration) {
-	if r.end(a) {
-		if pair := r.ended.at(a.key); pair != nil {
-			pair[a.version].Times[bucketOf(elapsed)]++
-		}
+	if r.end(a) && !a.answered {
+		r.count(a, elapsed)
 	}
 }
 
-// Failed records that the server has failed to respond to the attempt.
+// Failed records that the server has failed to respond to the attempt, also after its first event.
 func (r *Recorder) Failed(a *Attempt) {
-	if r.end(a) {
-		if pair := r.ended.at(a.key); pair != nil {
-			pair[a.version].Failed++
-		}
+	pair := r.ended.at(a.key)
+	if !r.end(a) || pair == nil {
+		return
+	}
+	if a.answered {
+		pair[a.version].Times[a.bucket]--
 	}
+	pair[a.version].Failed++
 }
 
-// Dropped records that an attempt ended for a reason that says nothing about the version.
-func (r *Recorder) Dropped(a *Attempt) { r.end(a) }
+// Ended records that an attempt ended for a reason that says nothing about the version. Without a first event it counts
+// only if it was overdue.
+func (r *Recorder) Ended(a *Attempt, elapsed time.Duration) {
+	if r.end(a) && !a.answered && elapsed >= overdueTime {
+		r.count(a, elapsed)
+	}
+}
 
 func (r *Recorder) end(a *Attempt) bool {
 	_, ok := r.open[a]
@@ -157,7 +180,7 @@
 	out := Evidence{}
 	out.add(r.ended)
 	for a := range r.open {
-		if age := now.Sub(a.sentAt); age >= overdueTime {
+		if age := now.Sub(a.sentAt); age >= overdueTime && !a.answered {
 			if pair := out.at(a.key); pair != nil {
 				pair[a.version].Times[bucketOf(age)]++
 			}
@@ -165,3 +188,10 @@
 	}
 	return out
 }
+
+// Set replaces the counts of a key and version.
+func (e Evidence) Set(k Key, v Version, c Counts) {
+	if pair := e.at(k); pair != nil {
+		pair[v] = c
+	}
+}
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -125,6 +125,8 @@
 	Sequence int64
 	// Reclaimable servers may be taken away by the platform at short notice.
 	Reclaimable bool
+	// Version is that of the server's software; empty if it is unknown.
+	Version string
 }
 
 // PromptPart is one part of a prompt. Requests with the same leading parts can share their cached prefill.
