--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/pollenlug/pollenlug/internal/edge"
 	"github.com/pollenlug/pollenlug/internal/explain"
 	"github.com/pollenlug/pollenlug/internal/settings"
+	"github.com/pollenlug/pollenlug/pkg/rollout"
 	"github.com/pollenlug/pollenlug/platform"
 	"github.com/pollenlug/pollenlug/platform/standin"
 )
@@ -46,6 +47,8 @@
 	maxConns  int
 	logs      logBuffer
 	logOutput io.Writer // replaces logs
+	// rollout enables rollouts of versions.
+	rollout rollout.Bounds
 	// callerLimits are the configured limits on what callers send.
 	callerLimits map[string]any
 }
@@ -141,7 +144,8 @@
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], DirectoryAddr: addrs[2], ControlAddr: addrs[3], PeerAddr: addrs[4], MetricsAddr: addrs[5],
 		MemoryBytes: d.memory, Descriptors: 1000, Cores: 1, HeartbeatInterval: 500 * time.Millisecond, DrainBound: 2 * time.Second,
 		Grace: d.grace, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: d.retrySlack, LeaseDuration: time.Second,
-		UsageWindow: time.Second, UsageDelay: 3 * time.Second, DirectoryTTL: 5 * time.Second, StoreAddr: d.storeAddr, CloudAddr: d.dutyAddr}
+		UsageWindow: time.Second, UsageDelay: 3 * time.Second, DirectoryTTL: 5 * time.Second, StoreAddr: d.storeAddr, CloudAddr: d.dutyAddr,
+		Rollout: d.rollout}
 	assert.NilError(d.t, s.Check())
 	logger := settings.Logger("info")
 	logger.SetOutput(&d.logs)
