--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -21,6 +21,7 @@
 	"github.com/pollenlug/pollenlug/pkg/drain"
 	"github.com/pollenlug/pollenlug/pkg/limit"
 	"github.com/pollenlug/pollenlug/pkg/placement"
+	"github.com/pollenlug/pollenlug/pkg/platform"
 	"github.com/pollenlug/pollenlug/pkg/quota"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 	"github.com/pollenlug/pollenlug/pkg/stall"
@@ -133,7 +134,7 @@
 	n.crashes.crashed = n.rollouts.serverCrashed
 	n.memory = newMemoryAccount(o.Settings.MemoryBytes)
 	n.callers = &callerConns{log: o.Log, limits: n.callerLimits, conns: map[net.Conn]*callerConn{}}
-	n.config = &configView{store: o.Store, records: o.Records, names: o.Names, log: o.Log, onChange: n.configChanged, onRow: n.rollouts.applyRow}
+	n.config = &configView{store: o.Store, records: o.Records, names: o.Names, log: o.Log, onChange: n.configChanged, onRow: func(row platform.Row) { n.rollouts.applyRow(row, time.Now()) }}
 	n.servers = &serverView{store: o.Store, records: o.Records, table: o.Names.ServerTable, log: o.Log,
 		onChange: n.serversChanged, entries: map[string]*serverEntry{}}
 	n.fetcher = newFetcher(n.config, n.servers, o.Log)
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,9 +21,11 @@
 const (
 	// rolloutInterval is how often a node judges the evidence of its rollouts.
 	rolloutInterval = 250 * time.Millisecond
-	// rolloutSilence is how long a node may hear nothing of the node that leads a rollout until it sends everything to the
-	// version in force again. It exceeds the time in which another node takes over.
-	rolloutSilence = 3 * time.Second
+	// silenceShare is the part of the rollback time for which a node may hear nothing of the node that leads a rollout
+	// until it sends everything to the version in force again; minSilence is the least such time, in which another node
+	// takes over.
+	silenceShare = 0.6
+	minSilence   = 2500 * time.Millisecond
 	// lostSettleTime is how long after the loss of a connection it is known whether its server has crashed or left. Only
 	// if neither, the loss counts against the version.
 	lostSettleTime = 900 * time.Millisecond
@@ -30,6 +33,8 @@
 	maxLostAttempts = 1000
 	// maxRollouts limits the services whose rollouts a node follows.
 	maxRollouts = 64
+	// maxRouteNames limits the routes of a service whose names are kept.
+	maxRouteNames = 256
 	// crashMemory is how long a crash explains lost connections.
 	crashMemory = 5 * time.Second
 )
@@ -82,12 +87,16 @@
 	state    *rollout.Rollout
 	gate     *rollout.Gate
 	recorder *rollout.Recorder
+	// routeNames has the names of routes by their hash, for log lines.
+	routeNames map[uint32]string
 	// canaryRank is the rank of each new server among those that get canary requests.
 	canaryRank map[string]int
 	// newSince is when the first canaries started.
 	newSince time.Time
-	heardAt  time.Time
-	stored   storedStatus
+	// heardAt is when the node that leads the rollout was last heard; returnedAt when the order was first read in another
+	// era of the store.
+	heardAt, returnedAt time.Time
+	stored              storedStatus
 }
 
 func newRollouts(o Options) *rollouts {
@@ -133,6 +142,9 @@
 
 // changed reports a new phase. The caller holds mu.
 func (r *rollouts) changed(service string, s *serviceVersions) {
+	for hash, name := range s.routeNames {
+		s.state.Reason = strings.Replace(s.state.Reason, rollout.RouteLabel(hash), "route "+name, 1)
+	}
 	verdict := s.state.Verdict()
 	exposed, requests := s.gate.Exposed()
 	r.metrics.Count("rollout_changes", "phase", s.state.Phase().String(), 1)
@@ -147,7 +159,7 @@
 func (r *rollouts) versions(service string) *serviceVersions {
 	s := r.services[service]
 	if s == nil && len(r.services) < maxRollouts {
-		s = &serviceVersions{ready: map[string]int{}, firstSeen: map[serverProcess]time.Time{}}
+		s = &serviceVersions{ready: map[string]int{}, firstSeen: map[serverProcess]time.Time{}, routeNames: map[uint32]string{}}
 		r.services[service] = s
 	}
 	return s
@@ -325,7 +337,7 @@
 		return []filter{old} // the new version is in force
 	case phase == rollout.Reverting || phase == rollout.Reverted:
 		return s.withFallback(old, fresh)
-	case now.Sub(s.heardAt) > rolloutSilence:
+	case now.Sub(s.heardAt) > max(minSilence, time.Duration(silenceShare*float64(r.bounds.Rollback))):
 		return s.withFallback(old, fresh)
 	case phase == rollout.All || phase == rollout.Completing:
 		return []filter{fresh, old}
@@ -368,10 +380,14 @@
 	return server.Version == s.inForce
 }
 
-// leadsRollouts reports whether this node decides on the phases of rollouts: the duty holder or, while none is known, the
-// first node. Two that do so for a moment are harmless, because phases only go forward.
+// leadsRollouts reports whether this node decides on the phases of rollouts: the duty holder or, while none is known, for
+// example because the store is away, the first node of those that hear most others. Two that do so for a moment are
+// harmless, because phases only go forward.
 func (n *Node) leadsRollouts(now time.Time) bool {
-	return n.holdsDuties.Load() || !n.peers.dutyHolderAlive(now) && n.peers.nodeRank() == 0
+	if n.holdsDuties.Load() {
+		return true
+	}
+	return !n.peers.dutyHolderAlive(now) && n.peers.nodeRank() == 0 && 2*(len(n.peers.alive(now))+1) > n.peers.deploymentSize()
 }
 
 // trafficPart returns this node's part of the requests of a service over all nodes.
--- a/internal/edge/rolloutevidence.go
+++ b/internal/edge/rolloutevidence.go
@@ -41,6 +41,9 @@
 	if !first || s.state.Phase().Decided() {
 		return nil
 	}
+	if len(s.routeNames) < maxRouteNames {
+		s.routeNames[nameHash(req.route.Name)] = req.route.Name
+	}
 	key := rollout.Key{Route: nameHash(req.route.Name), Domain: nameHash(server.Domain)}
 	return &versionAttempt{recorder: s.recorder, attempt: s.recorder.Begin(key, version, now), server: server, sentAt: now}
 }
@@ -72,7 +75,9 @@
 		a.recorder.Failed(a.attempt)
 	case result.status == delivered:
 		a.recorder.Answered(a.attempt, elapsed)
-	case result.status == responseLost && result.reason != reasonStalled:
+	case result.status == responseLost && result.reason == reasonStalled:
+		a.recorder.Answered(a.attempt, elapsed) // it would have taken longer
+	case result.status == responseLost:
 		a.recorder.Failed(a.attempt)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		a.recorder.Answered(a.attempt, elapsed)
--- a/internal/edge/rolloutnews.go
+++ b/internal/edge/rolloutnews.go
@@ -23,7 +23,10 @@
 		return nil
 	}
 	if s.state != nil {
-		if sameOrder(s.state.Order, o) {
+		if s.isSame(o, now) {
+			if platform.EraOf(o.Version) > platform.EraOf(s.state.Version) {
+				s.returnedAt = now
+			}
 			s.state.Version = max(s.state.Version, o.Version)
 			return s
 		}
@@ -41,19 +44,23 @@
 	}
 	s.state = rollout.NewRollout(o, from, r.bounds, start)
 	s.gate, s.recorder, s.heardAt = rollout.NewGate(r.bounds, rand.Float64(), slack), rollout.NewRecorder(), now
-	if s.inForce == o.To && (from == o.To || s.ready[from] == 0) {
+	if s.inForce == o.To && len(s.ready) == 1 && s.ready[o.To] > 0 {
 		s.state.From = o.To
-		s.state.Adopt(rollout.Completing, "", now)
+		s.state.Adopt(rollout.Completing, "", now) // there is nothing to do
+	} else if from == o.To {
+		s.state.From = "" // until updateInForce has found the version that carries the load
 	}
 	s.rankCanaries()
 	r.changed(o.Service, s)
 	return s
 }
 
-// sameOrder reports whether two rows are one order. In another era of the store, a row with the same content is one that
-// the operator, or the copy, has written again.
-func sameOrder(a, b rollout.Order) bool {
-	return a.To == b.To && a.Duration == b.Duration && (a.Version == b.Version || platform.EraOf(a.Version) != platform.EraOf(b.Version))
+// isSame reports whether a row is the known order. In another era of the store, and shortly after it has begun, a row with
+// the same content is in the copy, or the operator has written it again.
+func (s *serviceVersions) isSame(o rollout.Order, now time.Time) bool {
+	known := s.state.Order
+	return known.To == o.To && known.Duration == o.Duration && (known.Version == o.Version ||
+		platform.EraOf(known.Version) != platform.EraOf(o.Version) || now.Sub(s.returnedAt) < returnSettleTime)
 }
 
 // isNewerOrder reports whether an order's row was written after the known one. A row of a copy of the store is older
--- a/internal/edge/rolloutstatus.go
+++ b/internal/edge/rolloutstatus.go
@@ -71,7 +71,7 @@
 }
 
 // applyRow takes over a row of the operator's table if it is the order of a rollout.
-func (r *rollouts) applyRow(row platform.Row) {
+func (r *rollouts) applyRow(row platform.Row, now time.Time) {
 	service, ok := r.records.RolloutService(row.Key)
 	if !r.enabled() || !ok {
 		return
@@ -91,7 +91,7 @@
 		}
 		return
 	}
-	r.orderRead(order, time.Now())
+	r.orderRead(order, now)
 }
 
 // orderRead learns an order from the store. If its state is there too, the whole deployment may have restarted since: the
@@ -99,7 +99,7 @@
 func (r *rollouts) orderRead(o rollout.Order, now time.Time) {
 	start, fresh := now, true
 	s := r.services[o.Service]
-	known := s != nil && s.state != nil && sameOrder(s.state.Order, o)
+	known := s != nil && s.state != nil && s.isSame(o, now)
 	inStore := !known && s != nil && s.stored.version > o.Version && s.stored.To == o.To
 	if inStore {
 		fresh = false
@@ -187,29 +187,35 @@
 		return
 	}
 	era, _ := h.n.store.Era()
-	for _, d := range r.due(era) {
-		if _, ok := h.held.Check(); !ok {
-			return
-		}
-		stored, err := d.stored, error(nil)
-		if stored.known {
-			stored, err = h.writeRollout(ctx, d)
-		} else {
-			stored, err = h.readRollout(ctx, d.service)
+	for range 2 { // a state that must be read first is written in the same step
+		for _, d := range r.due(era) {
+			if _, ok := h.held.Check(); !ok {
+				return
+			}
+			h.syncRollout(ctx, d, era)
 		}
-		if err != nil {
-			h.n.log.WithError(err).WithFields(logrus.Fields{"service": d.service}).Info("state of a rollout not written; trying again")
-			h.n.metrics.Add("rollout_writes_failed", 1)
-		}
-		stored.era = era
-		r.setStored(d, stored, time.Now())
 	}
 }
 
-func (h *dutyHolder) readRollout(ctx context.Context, service string) (storedStatus, error) {
+// syncRollout reads a state whose row is not known, and writes it otherwise.
+func (h *dutyHolder) syncRollout(ctx context.Context, d statusDue, era uint64) {
+	access := h.readRollout
+	if d.stored.known {
+		access = h.writeRollout
+	}
+	stored, err := access(ctx, d)
+	if err != nil {
+		h.n.log.WithError(err).WithField("service", d.service).Info("state of a rollout not written; trying again")
+		h.n.metrics.Add("rollout_writes_failed", 1)
+	}
+	stored.era = era
+	h.n.rollouts.setStored(d, stored, time.Now())
+}
+
+func (h *dutyHolder) readRollout(ctx context.Context, d statusDue) (storedStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, rolloutStoreTimeout)
 	defer cancel()
-	row, err := h.n.store.Get(ctx, h.n.names.StatusTable, h.n.rollouts.records.RolloutKey(service))
+	row, err := h.n.store.Get(ctx, h.n.names.StatusTable, h.n.rollouts.records.RolloutKey(d.service))
 	if errors.Is(err, platform.ErrNotFound) {
 		return storedStatus{known: true}, nil
 	}
@@ -218,7 +224,7 @@
 	}
 	status, err := h.n.rollouts.records.RolloutStatus(row.Value)
 	if err != nil { // the row is written anew
-		h.n.log.WithError(err).WithField("service", service).Warning("decoding state of a rollout failed")
+		h.n.log.WithError(err).WithField("service", d.service).Warning("decoding state of a rollout failed")
 	}
 	return storedStatus{known: true, version: row.Version, RolloutStatus: status}, nil
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -102,7 +102,7 @@
 	if !ok {
 		return nil
 	}
-	others := placement.Choice{Service: req.service.Name, Exclude: slices.Clone(req.triedServers)}
+	others := placement.Choice{Service: req.service.Name, Exclude: slices.Clone(req.triedServers), Eligible: n.rollouts.choices(req, now)[0]}
 	t := &stallTimer{timeout: timeout}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -188,7 +188,7 @@
 	proven := !j.provenSince.IsZero()
 	v.Clean, v.CleanTogether = proven, proven && j.together.accept.max() <= acceptTogetherAt
 	for hash, t := range j.routes {
-		if reason, sum := t.strongest(fmt.Sprintf("route %08x", hash)); sum > v.Evidence {
+		if reason, sum := t.strongest(RouteLabel(hash)); sum > v.Evidence {
 			v.Reason, v.Evidence = reason, sum
 		}
 		v.cleanRoutes[hash] = proven && t.clean()
@@ -207,6 +207,9 @@
 	return v
 }
 
+// RouteLabel is the name of a route in reasons, which callers may replace.
+func RouteLabel(hash uint32) string { return fmt.Sprintf("route %08x", hash) }
+
 // ratios are logs of probability ratios.
 type ratios struct{ fail, slow float64 }
 
