--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -43,6 +43,7 @@
 // to know. It is safe for concurrent use.
 type rollouts struct {
 	bounds  rollout.Bounds
+	started time.Time
 	records Records
 	log     *logrus.Entry
 	metrics *metrics.Set
@@ -91,6 +92,8 @@
 	routeNames map[uint32]string
 	// canaryRank is the rank of each new server among those that get canary requests.
 	canaryRank map[string]int
+	// inherited is set if the rollout had begun before this node started.
+	inherited bool
 	// newSince is when the first canaries started.
 	newSince time.Time
 	// heardAt is when the node that leads the rollout was last heard; returnedAt when the order was first read in another
@@ -100,7 +103,7 @@
 }
 
 func newRollouts(o Options) *rollouts {
-	return &rollouts{bounds: o.Settings.Rollout, records: o.Records, log: o.Log, metrics: o.Metrics, statusLoaded: o.Settings.FirstStart,
+	return &rollouts{bounds: o.Settings.Rollout, started: time.Now(), records: o.Records, log: o.Log, metrics: o.Metrics, statusLoaded: o.Settings.FirstStart,
 		services: map[string]*serviceVersions{}, crashedAt: map[serverProcess]time.Time{}}
 }
 
@@ -122,6 +125,7 @@
 		if s.state == nil || s.state.Phase().Final() {
 			continue
 		}
+		s.rankCanaries(now)
 		in := rollout.Input{Now: now, OldServers: s.ready[s.state.From], NewServers: s.ready[s.state.To], NewSince: s.newSince,
 			Streams: r.streams(name)}
 		s.state.SetServers(in)
@@ -201,19 +205,20 @@
 		}
 	}
 	s.firstSeen = seen
-	s.rankCanaries()
+	s.rankCanaries(now)
 }
 
 // rankCanaries orders the new servers in the same way on all nodes, so that few of them get all canary requests. Servers
-// of different failure domains alternate.
-func (s *serviceVersions) rankCanaries() {
+// of different failure domains alternate. Servers that are still cold would look like a slow version.
+func (s *serviceVersions) rankCanaries(now time.Time) {
 	s.canaryRank, s.newSince = nil, time.Time{}
 	if s.state == nil {
 		return
 	}
+	useCold := now.Sub(s.state.Start) > time.Duration(coldPart*float64(s.state.Duration))
 	domains := map[string][]serving.Server{}
 	for _, server := range s.servers {
-		if server.State == serving.Ready && server.Version == s.state.To {
+		if server.State == serving.Ready && server.Version == s.state.To && (useCold || !s.isCold(server, now)) {
 			domains[server.Domain] = append(domains[server.Domain], server)
 		}
 	}
@@ -247,6 +252,14 @@
 	}
 }
 
+// isCold reports whether a server is still warming up.
+func (s *serviceVersions) isCold(server serving.Server, now time.Time) bool {
+	return now.Before(s.firstSeen[serverProcess{server.ID, server.Born}].Add(server.ColdLeft))
+}
+
+// coldPart is the part of the duration after which servers get requests although they are still cold.
+const coldPart = 0.3
+
 // canariesForAge is the number of canaries whose median start counts as that of the new version.
 const canariesForAge = 5
 
@@ -261,12 +274,12 @@
 	return 0
 }
 
-// startOf returns when a server's process started, as far as this node knows. The clocks of two machines may differ, so it
-// is at most startSkew before this node saw it, unless the node itself has just started.
+// startOf returns when a server became ready, as far as this node knows: when the node saw it or, if the node has started
+// during the rollout, soon after the start of the server's process. The clocks of the two machines may differ.
 func (s *serviceVersions) startOf(server serving.Server) time.Time {
 	seen := s.firstSeen[serverProcess{server.ID, server.Born}]
-	if born := time.UnixMilli(server.Born); server.Born > 0 && born.Before(seen) && s.state.Start.Before(seen.Add(-startSkew)) {
-		return born
+	if ready := time.UnixMilli(server.Born).Add(startSkew); server.Born > 0 && s.inherited && ready.Before(seen) {
+		return ready
 	}
 	return seen
 }
--- a/internal/edge/rolloutnews.go
+++ b/internal/edge/rolloutnews.go
@@ -50,7 +50,8 @@
 	} else if from == o.To {
 		s.state.From = "" // until updateInForce has found the version that carries the load
 	}
-	s.rankCanaries()
+	s.inherited = start.Before(r.started)
+	s.rankCanaries(now)
 	r.changed(o.Service, s)
 	return s
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -308,9 +308,13 @@
 	return at
 }
 
-// Canaries returns how many of the new servers get requests, so that each has the load of an old one. Faults that appear
-// under load would not show on servers that are nearly idle.
+// Canaries returns how many of the new servers get requests, so that in the canary phase each has the load of an old one:
+// faults that appear under load would not show on servers that are nearly idle. In the ramp all do, so that their caches
+// are warm when all requests follow.
 func (r *Rollout) Canaries(now time.Time) int {
+	if r.phase != Canary {
+		return math.MaxInt
+	}
 	return max(1, int(math.Round(r.share(now)*float64(r.servers))))
 }
 
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -127,6 +127,8 @@
 	Reclaimable bool
 	// Version is that of the server's software; empty if it is unknown.
 	Version string
+	// ColdLeft is how long the server is slower than usual after it has registered.
+	ColdLeft time.Duration
 }
 
 // PromptPart is one part of a prompt. Requests with the same leading parts can share their cached prefill.
