--- a/pkg/rollout/replay_test.go
+++ b/pkg/rollout/replay_test.go
@@ -257,10 +257,7 @@
 
 // plainRule is the rule in place of this package's: a tenth of the requests goes to the new version on any server, a version
 // is bad once a fifth of twenty of its responses have failed, and all requests move when half of the time is over.
-type plainRule struct {
-	responses, failed int
-	stopped           bool
-}
+type plainRule struct{ stopped bool }
 
 func (p *plainRule) share(r *replay) func(*replayNode, uint32, time.Time) (Version, int) {
 	return func(n *replayNode, _ uint32, now time.Time) (Version, int) {
