edge: states of rollouts are written first, also by a holder that may not make duty calls yet

Orders of servers can take seconds while the cloud API is slow, and a new holder waits for a lease before its first duty call; a rollout's outcome is due at a fixed time. A node's patience without news follows the heartbeat interval.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -135,6 +135,8 @@
 		case <-held.Done():
 			return
 		case <-ticker.C:
+			// The conditions of these writes protect them from an earlier holder, and they are due in time.
+			h.writeRollouts(ctx)
 			if now := time.Now(); now.After(from) {
 				h.step(ctx, now)
 			}
@@ -182,7 +184,6 @@
 func (h *dutyHolder) step(ctx context.Context, now time.Time) {
 	h.reportUsage(ctx, now)
 	h.orderServers(ctx, now)
-	h.writeRollouts(ctx)
 	h.deleteStaleRows(ctx, now)
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -152,7 +152,7 @@
 	n.quarantinedRequests = newQuarantineRows(requestQuarantineTable, requestQuarantines{n.crashes.tracker}, n.crashes, o.Store, o.Store.Snapshot, isWriter)
 	n.quarantinedParts = newQuarantineRows(partQuarantineTable, partQuarantines{n.crashes.tracker}, n.crashes, o.Store, o.Store.Snapshot, isWriter)
 	n.rollouts.announce, n.rollouts.leads, n.rollouts.isLeaving = n.peers.requestUrgent, n.leadsRollouts, n.board.IsLeaving
-	n.rollouts.trafficPart, n.rollouts.streams = n.trafficPart, n.streams
+	n.rollouts.trafficPart, n.rollouts.streams, n.rollouts.heartbeatInterval = n.trafficPart, n.streams, n.peers.heartbeatInterval
 	n.servers.heartbeatInterval, n.servers.onStoreChange, n.config.onStoreChange =
 		n.peers.heartbeatInterval, n.peers.requestUrgent, n.peers.requestUrgent
 	return n
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -26,6 +26,8 @@
 	// takes over.
 	silenceShare = 0.6
 	minSilence   = 2500 * time.Millisecond
+	// silentHeartbeats is that time in heartbeat intervals at least.
+	silentHeartbeats = 2.5
 	// lostSettleTime is how long after the loss of a connection it is known whether its server has crashed or left. Only
 	// if neither, the loss counts against the version.
 	lostSettleTime = 900 * time.Millisecond
@@ -50,11 +52,12 @@
 	// announce sends an urgent heartbeat; leads reports whether this node decides on the phases; isLeaving whether a server
 	// has said that it leaves; trafficPart returns this node's part of the requests of a service; streams reports whether a
 	// route of a service streams.
-	announce    func()
-	leads       func(now time.Time) bool
-	isLeaving   func(s serving.Server, now time.Time) bool
-	trafficPart func(service string, now time.Time) float64
-	streams     func(service string) bool
+	announce          func()
+	leads             func(now time.Time) bool
+	isLeaving         func(s serving.Server, now time.Time) bool
+	trafficPart       func(service string, now time.Time) float64
+	streams           func(service string) bool
+	heartbeatInterval func() time.Duration
 
 	mu       sync.Mutex
 	services map[string]*serviceVersions
@@ -350,7 +353,7 @@
 		return []filter{old} // the new version is in force
 	case phase == rollout.Reverting || phase == rollout.Reverted:
 		return s.withFallback(old, fresh)
-	case now.Sub(s.heardAt) > max(minSilence, time.Duration(silenceShare*float64(r.bounds.Rollback))):
+	case now.Sub(s.heardAt) > r.silence():
 		return s.withFallback(old, fresh)
 	case phase == rollout.All || phase == rollout.Completing:
 		return []filter{fresh, old}
@@ -366,6 +369,11 @@
 	return append([]filter{canary}, s.withFallback(old, fresh)...)
 }
 
+// silence is how long a node may hear nothing of the node that leads a rollout.
+func (r *rollouts) silence() time.Duration {
+	return max(minSilence, time.Duration(silenceShare*float64(r.bounds.Rollback)), time.Duration(silentHeartbeats*float64(r.heartbeatInterval())))
+}
+
 // withFallback returns the filter of the version in force, and the one of the new version if no server of the former is
 // left.
 func (s *serviceVersions) withFallback(old, fresh filter) []filter {
--- a/internal/edge/rolloutnews_test.go
+++ b/internal/edge/rolloutnews_test.go
@@ -35,6 +35,7 @@
 	n.announce, n.leads = func() {}, func(time.Time) bool { return n.lead }
 	n.isLeaving = func(serving.Server, time.Time) bool { return false }
 	n.trafficPart, n.streams = func(string, time.Time) float64 { return 0.5 }, func(string) bool { return false }
+	n.heartbeatInterval = func() time.Duration { return minHeartbeatInterval }
 	n.servers(old, fresh)
 	return n
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -94,7 +94,7 @@
 	minRamp  = 900 * time.Millisecond
 	// finalPart of the duration, from minFinal to maxFinal, is left for writing the outcome to a slow store.
 	finalPart = 0.1
-	minFinal  = 600 * time.Millisecond
+	minFinal  = time.Second
 	maxFinal  = 30 * time.Second
 	// minRouteSamples is the number of canary requests that a route should get in the canary phase; maxRouteShare limits
 	// the share of a route with few requests.
