--- a/pkg/rollout/replay_test.go
+++ b/pkg/rollout/replay_test.go
@@ -83,7 +83,7 @@
 	r.load = make([]float64, r.servers)
 	latest := 10.0
 	if d.restart { // later, the time that is left is not enough for a version that must be judged anew
-		latest = 4.5
+		latest = 5.5
 	}
 	r.faultAt = r.start.Add(time.Duration((1 + (latest-1)*r.random.Float64()) * float64(time.Second)))
 	r.decide = r.share
