--- a/internal/edge/rolloutnews.go
+++ b/internal/edge/rolloutnews.go
@@ -14,10 +14,8 @@
 // its state from the store.
 const rolloutTold = 30 * time.Second
 
-// learn takes over an order that arrived at start, unless a newer one is known. fresh is false if requests may already
-// have been sent to the new version, by this node or an earlier incarnation: the slack is not spent twice. The caller holds
-// mu.
-func (r *rollouts) learn(o rollout.Order, from string, start time.Time, fresh bool, now time.Time) *serviceVersions {
+// learn takes over an order that arrived at start, unless a newer one is known. The caller holds mu.
+func (r *rollouts) learn(o rollout.Order, from string, start, now time.Time) *serviceVersions {
 	s := r.versions(o.Service)
 	if s == nil {
 		return nil
@@ -38,8 +36,9 @@
 	if from == "" {
 		from = s.inForce
 	}
-	slack := 0.0
-	if fresh {
+	// An earlier incarnation of this node may have spent its part of the slack.
+	inherited, slack := start.Before(r.started), 0.0
+	if !inherited {
 		slack = r.trafficPart(o.Service, now)
 	}
 	s.state = rollout.NewRollout(o, from, r.bounds, start)
@@ -50,7 +49,7 @@
 	} else if from == o.To {
 		s.state.From = "" // until updateInForce has found the version that carries the load
 	}
-	s.inherited = start.Before(r.started)
+	s.inherited = inherited
 	s.rankCanaries(now)
 	r.changed(o.Service, s)
 	return s
@@ -111,7 +110,7 @@
 			continue
 		}
 		start := now.Add(-time.Duration(state.AgeMs) * time.Millisecond)
-		s := r.learn(order, state.From, start, true, now)
+		s := r.learn(order, state.From, start, now)
 		if s == nil {
 			continue
 		}
--- a/internal/edge/rolloutstatus.go
+++ b/internal/edge/rolloutstatus.go
@@ -97,12 +97,11 @@
 // orderRead learns an order from the store. If its state is there too, the whole deployment may have restarted since: the
 // rollout goes on from that state. The caller holds mu.
 func (r *rollouts) orderRead(o rollout.Order, now time.Time) {
-	start, fresh := now, true
+	start := now
 	s := r.services[o.Service]
 	known := s != nil && s.state != nil && s.isSame(o, now)
 	inStore := !known && s != nil && s.stored.version > o.Version && s.stored.To == o.To
 	if inStore {
-		fresh = false
 		if at := s.stored.OrderedAt; at.Before(now) && at.After(now.Add(-o.Duration)) {
 			start = at
 		} else if !at.IsZero() && s.stored.Outcome == RolloutInProgress {
@@ -113,7 +112,7 @@
 	if inStore {
 		outcome = s.stored.Outcome
 	}
-	if s = r.learn(o, "", start, fresh, now); s == nil || known {
+	if s = r.learn(o, "", start, now); s == nil || known {
 		return
 	}
 	if phase, ok := finalPhase(outcome); ok && s.state.Adopt(phase, "", now) {
