--- a/pkg/rollout/replay_test.go
+++ b/pkg/rollout/replay_test.go
@@ -326,3 +326,29 @@
 		})
 	}
 }
+
+// Guards against orders that cannot be met and stay without an outcome, or are completed.
+func TestOrdersThatCannotBeMetAreReverted(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	for name, o := range map[string]struct {
+		duration, age time.Duration
+		servers       int
+	}{"no server starts": {12 * time.Second, 0, 0}, "expired": {12 * time.Second, time.Hour, 4}, "too short": {time.Second, 0, 4}, "no requests": {12 * time.Second, 0, 4}} {
+		start := now.Add(-o.age)
+		r := NewRollout(Order{To: "v2", Duration: o.duration}, "v1", replayBounds, start)
+		at := now
+		for ; !r.Phase().Decided() && at.Before(now.Add(o.duration)); at = at.Add(250 * time.Millisecond) {
+			in := Input{Now: at, OldServers: 4, NewServers: o.servers}
+			if o.servers > 0 {
+				in.NewSince = now
+			}
+			r.SetServers(in)
+			r.Observe(at)
+			r.Advance(in)
+		}
+		assert.Equal(t, r.Phase(), Reverting, name)
+		assert.Assert(t, o.age > 0 || at.Before(r.Deadline()), name)
+		assert.Assert(t, r.Reason != "", name)
+	}
+}
