--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -125,6 +125,7 @@
 		refusedAt: map[string]time.Time{}, final: map[int64]map[string]int64{},
 		initialServers: map[string]int{}, fleetSettled: map[string]bool{},
 		reported: map[int64]bool{}}
+	n.rollouts.newTerm()
 	ticker := time.NewTicker(dutyInterval)
 	defer ticker.Stop()
 	for {
@@ -134,6 +135,8 @@
 		case <-held.Done():
 			return
 		case <-ticker.C:
+			// The conditions of these writes protect them from an earlier holder, and they are due in time.
+			h.writeRollouts(ctx)
 			if now := time.Now(); now.After(from) {
 				h.step(ctx, now)
 			}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -102,7 +102,7 @@
 	if !ok {
 		return nil
 	}
-	others := placement.Choice{Service: req.service.Name, Exclude: slices.Clone(req.triedServers)}
+	others := placement.Choice{Service: req.service.Name, Exclude: slices.Clone(req.triedServers), Eligible: n.rollouts.choices(req, now)[0]}
 	t := &stallTimer{timeout: timeout}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -182,6 +182,7 @@
 		if complete := pending.complete(); len(complete) > 0 {
 			ticket.FirstEvent(time.Now())
 			run.Answering(time.Now())
+			s.n.rollouts.firstEvent(s.req.versionAttempt, time.Now())
 			if s.req.firstEvent == 0 {
 				s.req.firstEvent = time.Since(s.req.sentAt)
 			}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -35,6 +35,13 @@
 	ConfigRowUnreadable = "configuration row cannot be read; the one before stays in force"
 )
 
+// Messages of rollouts.
+const (
+	RolloutChanged       = "rollout changed"
+	RolloutStatusWritten = "state of a rollout written"
+	RolloutOrderInvalid  = "order of a rollout cannot be read; it has no effect"
+)
+
 // Fields.
 const (
 	Time       = "time"
