--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -250,7 +250,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", backend.ErrUnreachable, err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.http.Exchange(req)
 	if err != nil {
 		return err
 	}
@@ -272,17 +272,17 @@
 	return readResponse(resp, c.options.MaxResponseBytes)
 }
 
-func (c *Client) send(ctx context.Context, addr, path string, body []byte) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, addr, path string, body []byte) (*httpclient.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", backend.ErrUnreachable, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	return c.http.Do(req)
+	return c.http.Exchange(req)
 }
 
 // readResponse reads a response of at most limit bytes.
-func readResponse(resp *http.Response, limit int64) ([]byte, error) {
+func readResponse(resp *httpclient.Response, limit int64) ([]byte, error) {
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
 		return nil, statusError(resp)
@@ -298,10 +298,16 @@
 	return data, nil
 }
 
-// statusError returns the error for a response whose status is not 200.
-func statusError(resp *http.Response) error {
+// statusError returns the error for a response whose status is not 200. One without a text, which engines write with their
+// refusals, may belong to an earlier request on the connection; the connection is closed then, so that the response that
+// follows is not taken for that of the next request.
+func statusError(resp *httpclient.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	httpclient.Drain(resp.Body)
+	if resp.Reused && len(text) == 0 {
+		resp.Discard()
+	} else {
+		httpclient.Drain(resp.Body)
+	}
 	class := backend.ErrInterrupted
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable:
--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -283,6 +283,59 @@
 	})
 }
 
+// Guards against the stream of one request being taken for that of the next one on the connection, after bytes of no
+// request that read like a refusal.
+func TestStreamAfterExtraBytesIsNotReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := netfault.NewPipeNetwork()
+		l, err := network.Listen(addr)
+		assert.NilError(t, err)
+		defer l.Close()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					reader := bufio.NewReader(c)
+					for number := 0; ; number++ {
+						var generate backend.GenerateRequest
+						request, err := http.ReadRequest(reader)
+						if err != nil || json.NewDecoder(request.Body).Decode(&generate) != nil {
+							return
+						}
+						if number == 1 {
+							_, _ = io.WriteString(c, "HTTP/1.1 503 Garbled\r\nContent-Length: 0\r\n\r\n")
+							time.Sleep(5 * time.Millisecond)
+						}
+						line := fmt.Sprintf(`{"offset":0,"tokens":[%q],"finish_reason":"stop"}`+"\n", generate.Prompt)
+						_, _ = io.WriteString(c, responseHead+httpChunk(line)+"0\r\n\r\n")
+					}
+				}()
+			}
+		}()
+		client := New(Options{HTTP: httpclient.Options{Dial: network.Dial}})
+		defer client.Close()
+		for i, prompt := range []string{"a", "b", "c"} {
+			got := ""
+			err := client.Generate(t.Context(), addr, backend.GenerateRequest{Prompt: prompt}, func(chunk backend.Chunk) error {
+				got = chunk.Tokens[0]
+				return nil
+			})
+			if i == 1 {
+				assertClass(t, err, backend.ErrRefused)
+				continue
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, got, prompt)
+			synctest.Wait() // the connection is idle, so that the next request reuses it
+		}
+		time.Sleep(10 * time.Millisecond) // until the engine has written everything
+	})
+}
+
 // Guards against differences between the hand-written parser and encoding/json.
 func FuzzParseChunk(f *testing.F) {
 	for _, seed := range []string{
--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -131,24 +131,51 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// Response is a response to a request, with what is known of its connection.
+type Response struct {
+	*http.Response
+	// Reused reports whether the connection had carried other requests before. Bytes on such a connection may belong to
+	// one of them.
+	Reused bool
+	conn   *conn
+}
+
+// Discard closes the response and its connection, on which more bytes of unknown origin may follow. Closing the body
+// alone keeps the connection of a response without a body.
+func (r *Response) Discard() {
+	_ = r.Body.Close()
+	r.conn.retire()
+}
+
 // Do sends req and returns the response once its header has arrived. An error is backend.ErrUnreachable when no byte
 // of the request was sent and none can be sent later, and backend.ErrInterrupted otherwise. The transport resends a
 // request only if the previous connection accepted none of its bytes, provided that the request has no body, or has
 // GetBody, and is not one that net/http considers idempotent; see SendOnce.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	resp, err := c.Exchange(req)
+	if err != nil {
+		return nil, err
+	}
+	return resp.Response, nil
+}
+
+// Exchange is like Do and also returns what is known of the connection.
+func (c *Client) Exchange(req *http.Request) (*Response, error) {
 	var used []connUse
 	var current atomic.Pointer[conn]
+	reused := false
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			wrapped := info.Conn.(*conn)
 			used = append(used, connUse{wrapped, wrapped.acquire()})
+			reused = info.Reused
 			current.Store(wrapped)
 		},
 		PutIdleConn: func(error) { current.Load().release() },
 	}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
-		return resp, nil
+		return &Response{resp, reused, current.Load()}, nil
 	}
 	class := backend.ErrUnreachable
 	for _, u := range used {
--- a/internal/adapter/servicehttp/servicehttp.go
+++ b/internal/adapter/servicehttp/servicehttp.go
@@ -14,6 +14,7 @@
 
 	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	"github.com/pollenlug/pollenlug/pkg/backend"
+	"github.com/pollenlug/pollenlug/pkg/proof"
 )
 
 // DefaultMaxAnswerBytes is the default of Options.MaxAnswerBytes.
@@ -62,8 +63,9 @@
 }
 
 // Call implements backend.Service. It sends the request at most once. When ctx ends after that, the error wraps both
-// backend.ErrInterrupted and the error of ctx. Status 503 gives backend.ErrRefused; any other status is returned as a
-// response.
+// backend.ErrInterrupted and the error of ctx. Status 503 gives backend.ErrRefused, and so does another status that
+// promises that the call has not run, on a connection that has carried other calls: nothing shows that it belongs to this
+// one. Any other status is returned as a response.
 func (c *Client) Call(ctx context.Context, addr string, call backend.CallRequest) (backend.CallResponse, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+addr+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -79,11 +81,15 @@
 	if call.NewConnection {
 		client = c.singleUse
 	}
-	resp, err := client.Do(req)
+	resp, err := client.Exchange(req)
 	if err != nil {
 		return backend.CallResponse{}, err
 	}
 	defer resp.Body.Close()
+	if unproven := resp.Reused && proof.PromisesNotRun(resp.StatusCode); unproven {
+		resp.Discard() // the response of this call may follow and must not be taken for that of the next one
+		return backend.CallResponse{}, fmt.Errorf("%w: status %d on a kept connection", backend.ErrRefused, resp.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.options.MaxAnswerBytes+1))
 	if err == nil && int64(len(body)) > c.options.MaxAnswerBytes {
 		err = errResponseTooLarge
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -197,6 +197,8 @@
 	response backend.CallResponse, sent bool, err error) {
 	content := contentDigest(call)
 	req := route.Request{Group: call.Service.BackendGroup}
+	// A status such as 429 is the service's own only on a connection that has carried no other call.
+	request.NewConnection = request.NewConnection || !idempotent
 	for i := range maxServers {
 		var current *serverCall
 		current, err = d.begin(ctx, &req, content)
@@ -217,6 +219,7 @@
 			break
 		}
 		d.Metrics.Retry(retryReason(err))
+		request.NewConnection = request.NewConnection || errors.Is(err, backend.ErrRefused)
 		req.Exclude = append(req.Exclude, current.pick.Server.ID)
 	}
 	return response, sent, d.callError(ctx, sent, err)
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/placement"
+	"github.com/pollenlug/pollenlug/pkg/proof"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 )
 
@@ -70,11 +70,11 @@
 	if err != nil {
 		return sendResult{status: notSent, reason: "invalid_request"}
 	}
-	resp, reused, err := n.exchange(out)
+	resp, err := n.client.Exchange(out)
 	if err != nil {
 		return classify(ctx, err)
 	}
-	if result, done := n.checkReply(req, resp, ticket, reused); done {
+	if result, done := n.checkReply(req, resp, ticket); done {
 		return result
 	}
 	response, err := n.readResponse(req, resp)
@@ -101,37 +101,41 @@
 	return sendResult{status: delivered, completed: !connLost && resp.StatusCode < http.StatusInternalServerError, connLost: connLost}
 }
 
-// exchange sends a request to a server. reused reports whether its connection had carried others before.
-func (n *Node) exchange(out *http.Request) (resp *http.Response, reused bool, err error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
-	resp, err = n.client.Do(out.WithContext(httptrace.WithClientTrace(out.Context(), trace)))
-	return resp, reused, err
-}
-
 // checkReply detects responses that cannot be passed to the caller.
-func (n *Node) checkReply(req *request, resp *http.Response, ticket *placement.Ticket, reused bool) (sendResult, bool) {
-	reply := n.headers.Reply(resp)
-	n.withhold(req, reply, ticket.Server)
-	if !reply.OtherServer {
-		n.board.ObserveReply(ticket.Server, reply, time.Now())
-	}
-	refused := reply.NotRun || reply.OtherServer
-	switch {
-	case reply.AttemptID != req.AttemptID && (reply.AttemptID != "" || reply.Signed || refused && reused):
-		// A late response to an earlier request, or one that may be, such as a refusal without an id on a connection that
-		// has carried others. The right one may follow, but the connection can no longer be trusted.
-		closeBody(resp)
+func (n *Node) checkReply(req *request, resp *httpclient.Response, ticket *placement.Ticket) (sendResult, bool) {
+	reply := n.headers.Reply(resp.Response)
+	evidence := evidenceOf(req, resp, reply)
+	if reply.AttemptID != "" || evidence.Attributable() {
+		n.withhold(req, reply, ticket.Server)
+		if !reply.OtherServer {
+			n.board.ObserveReply(ticket.Server, reply, time.Now())
+		}
+	}
+	switch proof.Judge(evidence) {
+	case proof.Crossed:
+		resp.Discard()
 		return sendResult{status: responseLost, reason: "answer_crossed"}, true
-	case refused:
+	case proof.Refused:
 		httpclient.Drain(resp.Body)
 		return sendResult{status: notRun, reason: "server_refused"}, true
-	case resp.StatusCode/100 == 2 && (!reply.Signed || resp.Header.Get("Content-Encoding") != ""):
+	case proof.Failed:
 		closeBody(resp)
+		return sendResult{status: serverFailed, reason: "server_error"}, true
+	case proof.Invalid:
+		resp.Discard()
 		return sendResult{status: responseLost, reason: "answer_invalid"}, true
 	}
 	return sendResult{}, false
 }
 
+// evidenceOf returns what shows whose response it is.
+func evidenceOf(req *request, resp *httpclient.Response, reply serving.Reply) proof.Response {
+	// A request without an id has a response without one, of which only the signature shows that it is no error page.
+	own := reply.AttemptID == req.AttemptID && (reply.AttemptID != "" || reply.Signed)
+	return proof.Response{Status: resp.StatusCode, OwnID: own, OtherID: reply.AttemptID != "" && !own, Signed: reply.Signed,
+		NotRun: reply.NotRun || reply.OtherServer, Encoded: resp.Header.Get("Content-Encoding") != "", Reused: resp.Reused}
+}
+
 // withhold applies what a server says about further requests of this node.
 func (n *Node) withhold(req *request, reply serving.Reply, s serving.Server) {
 	pause := reply.Pause
@@ -147,10 +151,10 @@
 }
 
 // closeBody closes a response. The connection is closed with it if the body was not read to its end.
-func closeBody(resp *http.Response) { _ = resp.Body.Close() }
+func closeBody(resp *httpclient.Response) { _ = resp.Body.Close() }
 
 // readResponse reads a response, or as much of it as the memory allows.
-func (n *Node) readResponse(req *request, resp *http.Response) (*bufferedResponse, error) {
+func (n *Node) readResponse(req *request, resp *httpclient.Response) (*bufferedResponse, error) {
 	before := req.kept.held
 	body, ended, err := req.kept.readParts(resp.Body, resp.ContentLength, n.memory.maxBody)
 	reserved := int(req.kept.held - before)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/placement"
 	"github.com/pollenlug/pollenlug/pkg/stall"
@@ -53,19 +54,19 @@
 	if err != nil {
 		return sendResult{status: notSent, reason: "invalid_request"}
 	}
-	resp, reused, err := s.n.exchange(out)
+	resp, err := s.n.client.Exchange(out)
 	if err != nil {
 		return classify(ctx, err)
 	}
 	defer closeBody(resp)
-	if result, done := s.n.checkReply(s.req, resp, ticket, reused); done {
+	if result, done := s.n.checkReply(s.req, resp, ticket); done {
 		return result
 	}
 	if resp.StatusCode/100 != 2 {
 		return s.serverFailure(resp)
 	}
 	s.resuming = s.lastID != ""
-	err = s.copyEvents(resp, ticket, run, timer)
+	err = s.copyEvents(resp.Response, ticket, run, timer)
 	if err == nil {
 		s.req.outcome = logline.Served
 		return sendResult{status: delivered, completed: true}
@@ -153,7 +154,7 @@
 }
 
 // serverFailure returns the result for an error response of a server.
-func (s *streamRelay) serverFailure(resp *http.Response) sendResult {
+func (s *streamRelay) serverFailure(resp *httpclient.Response) sendResult {
 	if s.headerSent {
 		return sendResult{status: responseLost, reason: "server_error"}
 	}
--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -12,7 +12,8 @@
 
 // Errors that every adapter returns, possibly wrapped.
 var (
-	// ErrRefused means that the server did not start the request.
+	// ErrRefused means that the server says it did not start the request. On a connection that has carried others this is
+	// no proof: the refusal may belong to one of them.
 	ErrRefused = errors.New("backend: request refused")
 	// ErrUnreachable means that the request could not be sent: no byte of it left this node.
 	ErrUnreachable = errors.New("backend: server unreachable")
