--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -131,6 +131,10 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// ErrInvalidResponse means that the final response has a status below 200. net/http returns a switch of protocols as one,
+// with a body that reads from the connection without regard to the request's context. No request asks for a switch.
+var ErrInvalidResponse = errors.New("httpclient: not a final response")
+
 // Response is a response to a request, with what is known of its connection.
 type Response struct {
 	*http.Response
@@ -175,7 +179,12 @@
 	}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
-		return &Response{resp, reused, current.Load()}, nil
+		out := &Response{resp, reused, current.Load()}
+		if resp.StatusCode < http.StatusOK {
+			out.Discard()
+			return nil, fmt.Errorf("%w: %w: status %d", backend.ErrInterrupted, ErrInvalidResponse, resp.StatusCode)
+		}
+		return out, nil
 	}
 	class := backend.ErrUnreachable
 	for _, u := range used {
--- a/internal/adapter/platformhttp/platformhttp.go
+++ b/internal/adapter/platformhttp/platformhttp.go
@@ -248,6 +248,10 @@
 		return call.transportError(ctx, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusOK {
+		// The body of a switch of protocols reads from the connection, which the end of ctx does not stop.
+		return call.transportError(ctx, true, fmt.Errorf("status %d", resp.StatusCode))
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, api.MaxBodyBytes+1))
 	if err != nil || len(data) > api.MaxBodyBytes {
 		return call.transportError(ctx, true, errors.Join(err, errors.New("the answer is incomplete")))
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/backend"
@@ -390,6 +391,8 @@
 		return sendResult{status: canceled, reason: "stopped", unsent: errors.Is(err, backend.ErrUnreachable)}
 	case errors.Is(err, backend.ErrUnreachable):
 		return sendResult{status: notSent, reason: "unreachable", connRefused: errors.Is(err, syscall.ECONNREFUSED)}
+	case errors.Is(err, httpclient.ErrInvalidResponse):
+		return sendResult{status: responseLost, reason: "answer_invalid"}
 	default:
 		return sendResult{status: responseLost, reason: "connection_lost", connLost: true}
 	}
