stall: a cold service abandons no attempt without evidence

Cause: without eight measured attempts pkg/stall took 40 ms for usual, and abandoned attempts were never measured. Requests that take most of their time limit were abandoned and begun anew too late.

Change: when the timer fires, Forecasts.Stalled decides by what is known then. With few attempts it needs a completed one that was twice as fast, few abandoned (censored) ones beside the completed, and time left for another attempt as long as this one.

The same cause: attempts begun cold kept their short timeout after the service had become known; they are judged anew. pkg/drain asks for eight measured requests too, and refuses without them; not changed.

Cost: the first request of a service on a node whose answer is lost is no longer sent again before anything has completed there.

Before: TestColdNodeAnswersLongRequests 91 of 120 requests 504. After: 0, with -race; TestColdNodeAbandonsNoSoundAttempt 0 of 300 in 20 replays; TestLostAnswersAreRetriedInTime, TestResumableStreamGoesOnElsewhere, TestTricklingStreamIsNotKeptAlive pass.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -24,6 +24,8 @@
 	stallPauseFactor = 4
 	// minStallTimeout is the minimum of that time.
 	minStallTimeout = 1200 * time.Millisecond
+	// stallRecheckInterval is how often it is asked again whether a silent attempt has stalled, while too little is known.
+	stallRecheckInterval = 50 * time.Millisecond
 	// maxEventBytes limits the size of one event.
 	maxEventBytes = 1 << 20
 	// streamReadSize is the size of one read from a server.
@@ -91,33 +93,37 @@
 func (e errorString) Error() string { return string(e) }
 
 // startStallTimer returns a timer that cancels a send of which nothing arrives for too long, or nil if the request cannot
-// be sent again in time. While no other server is left or the retry budget is spent, the send goes on, because without a
-// retry the request would fail, and the timer tries again later.
+// be sent again in time. While nothing shows that the service is faster, no other server is left or the retry budget is
+// spent, the send goes on, because without a retry the request would fail, and the timer tries again later.
 func (n *Node) startStallTimer(req *request, ticket *placement.Ticket, cancel context.CancelCauseFunc) *stallTimer {
 	if !req.route.Repeat.MayRetry() || req.sends+1 >= req.route.MaxAttempts {
 		return nil
 	}
 	now := time.Now()
-	timeout, ok := n.forecasts.Timeout(stall.Attempt{Service: req.service.Name, Expected: ticket.Expected,
-		Target: req.route.LatencyTarget, Left: req.deadline.Sub(now)}, now)
+	attempt := stall.Attempt{Service: req.service.Name, Expected: ticket.Expected, Target: req.route.LatencyTarget, Left: req.deadline.Sub(now)}
+	timeout, ok := n.forecasts.Timeout(attempt, now)
 	if !ok {
 		return nil
 	}
 	others := placement.Choice{Service: req.service.Name, Exclude: slices.Clone(req.triedServers)}
-	t := &stallTimer{timeout: timeout}
+	t, started := &stallTimer{timeout: timeout}, now
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(timeout, func() {
 		now := time.Now()
-		if n.board.HasCandidate(others, now) && n.retryWindow(req.service.Name).Withdraw(now) {
-			cancel(errStalled)
+		silent := !t.hasAnswered() // since the start
+		if silent && !n.forecasts.Stalled(attempt, now.Sub(started), now) {
+			t.tryAgain(stallRecheckInterval)
 			return
 		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if !t.stopped {
-			t.timer.Reset(t.timeout)
+		if !n.board.HasCandidate(others, now) || !n.retryWindow(req.service.Name).Withdraw(now) {
+			t.tryAgain(0)
+			return
+		}
+		if silent {
+			n.forecasts.Abandon(attempt.Service, now)
 		}
+		cancel(errStalled)
 	})
 	return t
 }
@@ -127,7 +133,27 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	timeout time.Duration
-	stopped bool
+	// answered is set once something has arrived.
+	answered bool
+	stopped  bool
+}
+
+func (t *stallTimer) hasAnswered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answered
+}
+
+// tryAgain starts the timer again, for the timeout if after is 0.
+func (t *stallTimer) tryAgain(after time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if after == 0 {
+		after = t.timeout
+	}
+	if !t.stopped {
+		t.timer.Reset(after)
+	}
 }
 
 // expect starts the timer again: something has arrived, and the next sign is due within the timeout.
@@ -137,6 +163,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answered = true
 	if !t.stopped {
 		t.timeout = timeout
 		t.timer.Reset(timeout)
