--- a/internal/edge/serverview.go
+++ b/internal/edge/serverview.go
@@ -78,6 +78,7 @@
 	changedAt time.Time
 	// freshAsOf is the start time of the read that this view is as fresh as.
 	freshAsOf time.Time
+	isolation isolation
 	// storeRecoveredAt is when the store was first read after an outage or a return from a copy.
 	storeRecoveredAt time.Time
 	// copyVersion is the first version at which this view was read in the store's current era, if it was also read in an
@@ -237,12 +238,15 @@
 	return newEra
 }
 
-// recordStoreRecovery records the first read after a store outage.
+// recordStoreRecovery records the first read after a store outage, or after this node was cut off from store and peers.
 func (v *serverView) recordStoreRecovery(now time.Time) {
-	if !v.freshAsOf.IsZero() && now.Sub(v.freshAsOf) > outageThreshold {
+	if v.freshAsOf.IsZero() || now.Sub(v.freshAsOf) <= outageThreshold {
+		return
+	}
+	if v.isolation.isOutage(v.freshAsOf, now) {
 		v.storeRecoveredAt = now
-		v.readers.storeRecovered()
 	}
+	v.readers.storeRecovered()
 }
 
 func (v *serverView) put(key string, value []byte, version uint64) {
@@ -365,6 +369,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.isolation.heard(now)
 	if peer.Version < v.version {
 		return false
 	}
--- a/internal/edge/viewchanges.go
+++ b/internal/edge/viewchanges.go
@@ -117,6 +117,7 @@
 	if view.Version <= v.version || view.Since > v.version || (view.Since > 0 && !v.loaded.Load()) {
 		return nil
 	}
+	before, notTaken := v.version, uint64(0) // notTaken is the digest of entries that this node knows to have vanished
 	newEra := platform.EraOf(view.Version) > platform.EraOf(v.version) && v.version != 0
 	if newEra {
 		v.setVersion(view.Version, now)
@@ -124,6 +125,12 @@
 	present := make(map[string]bool, len(view.Entries))
 	for _, e := range view.Entries {
 		present[e.Key] = true
+		if v.knowsVanished(e, before) {
+			if server, err := v.records.Server(e.Key, e.Value); err == nil {
+				notTaken += entryDigest(&server)
+			}
+			continue
+		}
 		v.put(e.Key, e.Value, e.Version)
 		if known := v.entries[e.Key]; e.GoneInMs > 0 && known != nil {
 			known.expiresAt = now.Add(time.Duration(e.GoneInMs) * time.Millisecond)
@@ -147,7 +154,7 @@
 		}
 	}
 	changed := v.publish()
-	if view.Since > 0 && v.digest != view.Digest {
+	if view.Since > 0 && v.digest+notTaken != view.Digest {
 		// The changes are right, but this view misses others. Its version is kept, so that the whole view is fetched.
 		v.incomplete = true
 		return errDigestMismatch
