cli: tests keep listeners open until all addresses are drawn

Cause: freeAddr closed its listener before the next call, so two listen addresses of a process could be the same, and it ended with "address already in use" (TestEdgeReloadsSettingsOnSIGHUP, about 1 run in 800).

Change: freeAddrs draws all addresses of a test at once, also for the deployment of process_test.go. No check is changed.

Other tests draw ports from standin.Ports, which gives none twice.

--- a/internal/cli/edge_test.go
+++ b/internal/cli/edge_test.go
@@ -23,9 +23,10 @@
 	defer store.Close()
 	defer store.CloseClientConnections()
 	addr := store.Listener.Addr().String()
+	addrs := freeAddrs(t, 4)
 	settingsPath := filepath.Join(t.TempDir(), "boot.json")
 	writeJSON(t, settingsPath, map[string]any{"node_name": "n", "ip": "127.0.0.1", "zone": "z", "seed_nodes": []string{},
-		"listen":         map[string]string{"frontend": freeAddr(t), "ready": freeAddr(t), "control_plane": freeAddr(t), "registry": freeAddr(t)},
+		"listen":         map[string]string{"frontend": addrs[0], "ready": addrs[1], "control_plane": addrs[2], "registry": addrs[3]},
 		"internal_ports": []int{17600, 17603}, "limits": map[string]any{"memory_mb": 256}, "heartbeat_ms": 500,
 		"bounds":   map[string]any{"drain_ms": 2000, "grace_s": 1, "retry_window_s": 10, "lease_ms": 3000, "usage_window_s": 5, "usage_delay_s": 10, "ttl_max_s": 5},
 		"platform": map[string]string{"address": addr}, "cloud_api": map[string]string{"address": addr}})
--- a/internal/cli/process_test.go
+++ b/internal/cli/process_test.go
@@ -44,12 +44,30 @@
 	return cmd, bufio.NewScanner(out)
 }
 
-func freeAddr(t *testing.T) string {
+// freeAddrs returns n different free addresses. The listeners stay open until all are drawn: the system may give the port
+// of a closed one again.
+func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	addrs := make([]string, n)
+	for i := range addrs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		addrs[i] = l.Addr().String()
+	}
+	return addrs
+}
+
+// Guards against a process that is given the same address twice and ends with "address already in use".
+func TestFreeAddrsAreDifferent(t *testing.T) {
+	const draws, addrs = 1000, 9
+	for range draws {
+		seen := map[string]bool{}
+		for _, addr := range freeAddrs(t, addrs) {
+			assert.Assert(t, !seen[addr], "%s twice", addr)
+			seen[addr] = true
+		}
+	}
 }
 
 func writeJSON(t *testing.T, path string, value any) {
@@ -70,13 +88,14 @@
 	t.Helper()
 	dir := t.TempDir()
 	assert.NilError(t, writeKeys(dir, []string{"n1", "n2", "n3"}))
-	platformAddr := freeAddr(t)
+	addrs := freeAddrs(t, 9)
+	platformAddr, engineAddr, bookingAddr, nodeAddrs := addrs[0], addrs[1], addrs[2], addrs[3:]
 	var entries []map[string]any
 	var settings []map[string]any
 	d := &deployment{}
 	for i := range 3 {
 		name := fmt.Sprintf("n%d", i+1)
-		callerAddr, nodeAddr := freeAddr(t), freeAddr(t)
+		callerAddr, nodeAddr := nodeAddrs[2*i], nodeAddrs[2*i+1]
 		location := map[string]any{"node": name, "region": "north", "failure_domain": fmt.Sprintf("north-%d", i), "node_addr": nodeAddr, "caller_addr": callerAddr}
 		entries = append(entries, location)
 		nodeSettings := map[string]any{"platform_url": "http://" + platformAddr, "node_tls": map[string]any{
@@ -89,8 +108,8 @@
 	}
 	writeJSON(t, filepath.Join(dir, "standin.json"), map[string]any{"seed": 1, "platform_addr": platformAddr, "entries": entries,
 		"servers": []map[string]any{
-			{"name": "engine-1", "backend_group": "assistant", "kind": "MODEL_ENGINE", "region": "north", "failure_domain": "north-1", "addr": freeAddr(t), "models": []string{"quote-small"}},
-			{"name": "booking-1", "backend_group": "booking", "kind": "PLAIN_SERVICE", "region": "north", "failure_domain": "north-1", "addr": freeAddr(t)},
+			{"name": "engine-1", "backend_group": "assistant", "kind": "MODEL_ENGINE", "region": "north", "failure_domain": "north-1", "addr": engineAddr, "models": []string{"quote-small"}},
+			{"name": "booking-1", "backend_group": "booking", "kind": "PLAIN_SERVICE", "region": "north", "failure_domain": "north-1", "addr": bookingAddr},
 		}})
 	_, out := startProcess(t, "standin", "--settings", filepath.Join(dir, "standin.json"))
 	assert.Assert(t, out.Scan(), "the stand-ins did not start")
