--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/placement"
 	"github.com/pollenlug/pollenlug/pkg/stall"
@@ -23,6 +24,8 @@
 	stallPauseFactor = 4
 	// minStallTimeout is the minimum of that time.
 	minStallTimeout = 1200 * time.Millisecond
+	// stallRecheckInterval is how often it is asked again whether a silent attempt has stalled, while too little is known.
+	stallRecheckInterval = 50 * time.Millisecond
 	// maxEventBytes limits the size of one event.
 	maxEventBytes = 1 << 20
 	// streamReadSize is the size of one read from a server.
@@ -53,19 +56,19 @@
 	if err != nil {
 		return sendResult{status: notSent, reason: "invalid_request"}
 	}
-	resp, reused, err := s.n.exchange(out)
+	resp, err := s.n.client.Exchange(out)
 	if err != nil {
 		return classify(ctx, err)
 	}
 	defer closeBody(resp)
-	if result, done := s.n.checkReply(s.req, resp, ticket, reused); done {
+	if result, done := s.n.checkReply(s.req, resp, ticket); done {
 		return result
 	}
 	if resp.StatusCode/100 != 2 {
 		return s.serverFailure(resp)
 	}
 	s.resuming = s.lastID != ""
-	err = s.copyEvents(resp, ticket, run, timer)
+	err = s.copyEvents(resp.Response, ticket, run, timer)
 	if err == nil {
 		s.req.outcome = logline.Served
 		return sendResult{status: delivered, completed: true}
@@ -90,33 +93,37 @@
 func (e errorString) Error() string { return string(e) }
 
 // startStallTimer returns a timer that cancels a send of which nothing arrives for too long, or nil if the request cannot
-// be sent again in time. While no other server is left or the retry budget is spent, the send goes on, because without a
-// retry the request would fail, and the timer tries again later.
+// be sent again in time. While nothing shows that the service is faster, no other server is left or the retry budget is
+// spent, the send goes on, because without a retry the request would fail, and the timer tries again later.
 func (n *Node) startStallTimer(req *request, ticket *placement.Ticket, cancel context.CancelCauseFunc) *stallTimer {
 	if !req.route.Repeat.MayRetry() || req.sends+1 >= req.route.MaxAttempts {
 		return nil
 	}
 	now := time.Now()
-	timeout, ok := n.forecasts.Timeout(stall.Attempt{Service: req.service.Name, Expected: ticket.Expected,
-		Target: req.route.LatencyTarget, Left: req.deadline.Sub(now)}, now)
+	attempt := stall.Attempt{Service: req.service.Name, Expected: ticket.Expected, Target: req.route.LatencyTarget, Left: req.deadline.Sub(now)}
+	timeout, ok := n.forecasts.Timeout(attempt, now)
 	if !ok {
 		return nil
 	}
 	others := placement.Choice{Service: req.service.Name, Exclude: slices.Clone(req.triedServers), Eligible: n.rollouts.choices(req, now)[0]}
-	t := &stallTimer{timeout: timeout}
+	t, started := &stallTimer{timeout: timeout}, now
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(timeout, func() {
 		now := time.Now()
-		if n.board.HasCandidate(others, now) && n.retryWindow(req.service.Name).Withdraw(now) {
-			cancel(errStalled)
+		silent := !t.hasAnswered() // since the start
+		if silent && !n.forecasts.Stalled(attempt, now.Sub(started), now) {
+			t.tryAgain(stallRecheckInterval)
 			return
 		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if !t.stopped {
-			t.timer.Reset(t.timeout)
+		if !n.board.HasCandidate(others, now) || !n.retryWindow(req.service.Name).Withdraw(now) {
+			t.tryAgain(0)
+			return
+		}
+		if silent {
+			n.forecasts.Abandon(attempt.Service, now)
 		}
+		cancel(errStalled)
 	})
 	return t
 }
@@ -126,7 +133,27 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	timeout time.Duration
-	stopped bool
+	// answered is set once something has arrived.
+	answered bool
+	stopped  bool
+}
+
+func (t *stallTimer) hasAnswered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answered
+}
+
+// tryAgain starts the timer again, for the timeout if after is 0.
+func (t *stallTimer) tryAgain(after time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if after == 0 {
+		after = t.timeout
+	}
+	if !t.stopped {
+		t.timer.Reset(after)
+	}
 }
 
 // expect starts the timer again: something has arrived, and the next sign is due within the timeout.
@@ -136,6 +163,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answered = true
 	if !t.stopped {
 		t.timeout = timeout
 		t.timer.Reset(timeout)
@@ -153,7 +181,7 @@
 }
 
 // serverFailure returns the result for an error response of a server.
-func (s *streamRelay) serverFailure(resp *http.Response) sendResult {
+func (s *streamRelay) serverFailure(resp *httpclient.Response) sendResult {
 	if s.headerSent {
 		return sendResult{status: responseLost, reason: "server_error"}
 	}
