edge, elastic: no orders of servers while two versions run beside each other

Cause: a rollout starts the new version's servers as on-demand ones beside the old ones.

Change: the holder sends no orders for a service from the order of a rollout until the servers of the version that leaves are gone, 15 s after the outcome at the latest. After a completed rollout, elastic.Replace gives up on-demand servers in steps while reclaimable ones boot; the plan alone would give up all at once.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -24,8 +24,14 @@
 			continue
 		}
 		in := h.planInput(service, now)
+		if h.n.rollouts.holdsFleet(service.Name, now) {
+			continue
+		}
 		plan := elastic.Plan(in)
 		for _, d := range in.Domains {
+			if h.n.rollouts.completed(service.Name) {
+				plan[d.Name] = elastic.Replace(plan[d.Name], d, in.Max)
+			}
 			h.order(ctx, now, in, orderKey{service.Name, d.Name, true}, plan[d.Name].Reclaimable)
 			if h.fleetSettled[service.Name] { // before that, running servers may not have registered yet
 				h.order(ctx, now, in, orderKey{service.Name, d.Name, false}, plan[d.Name].Lasting)
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -103,6 +103,8 @@
 	// era of the store.
 	heardAt, returnedAt time.Time
 	stored              storedStatus
+	// finalSince is when the outcome was first seen to be in the store.
+	finalSince time.Time
 }
 
 func newRollouts(o Options) *rollouts {
@@ -401,6 +403,46 @@
 	return server.Version == s.inForce
 }
 
+// maxFleetHold is how long after a rollout's outcome the servers of the version that leaves keep the fleet as it is. They
+// stop within seconds; ones that do not must not keep the fleet from following the load for good.
+const maxFleetHold = 15 * time.Second
+
+// holdsFleet reports whether the number of servers of a service must not be ordered now, because servers of two versions
+// run beside each other. The limit of a failure domain applies to both versions together and an order to one kind of
+// server of any version: an unchanged order, sent again, takes away servers of the old and of the new version.
+func (r *rollouts) holdsFleet(service string, now time.Time) bool {
+	if !r.enabled() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[service]
+	if s == nil || s.state == nil {
+		return false
+	}
+	leaving := s.state.To
+	switch s.state.Phase() {
+	case rollout.Completed:
+		leaving = s.state.From
+	case rollout.Reverted:
+	default:
+		s.finalSince = time.Time{}
+		return now.Before(s.state.Start.Add(s.state.Duration + maxFleetHold))
+	}
+	if s.finalSince.IsZero() {
+		s.finalSince = now
+	}
+	return s.state.From != s.state.To && s.ready[leaving] > 0 && now.Before(s.finalSince.Add(maxFleetHold))
+}
+
+// completed reports whether the last rollout of a service has been completed.
+func (r *rollouts) completed(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[service]
+	return s != nil && s.state != nil && s.state.Phase() == rollout.Completed
+}
+
 // leadsRollouts reports whether this node decides on the phases of rollouts: the duty holder or, while none is known, for
 // example because the store is away, the first node of those that hear most others. Two that do so for a moment are
 // harmless, because phases only go forward.
