edge: findings of the review of rollouts

Once all requests go to the new version, none goes back to the old servers, which stop without draining. A starting node that does not know the order yet takes the version of the oldest server for the one in force, not that of most servers, which may be the new one. A version is completed at once only if it was in force. elastic.Replace is removed: Plan already keeps the on-demand servers that are needed; after a completed rollout those that are not are given up first.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -29,12 +29,22 @@
 		}
 		plan := elastic.Plan(in)
 		for _, d := range in.Domains {
-			if h.n.rollouts.completed(service.Name) {
-				plan[d.Name] = elastic.Replace(plan[d.Name], d, in.Max)
+			reclaimable := func() {
+				h.order(ctx, now, in, orderKey{service.Name, d.Name, true}, plan[d.Name].Reclaimable)
 			}
-			h.order(ctx, now, in, orderKey{service.Name, d.Name, true}, plan[d.Name].Reclaimable)
-			if h.fleetSettled[service.Name] { // before that, running servers may not have registered yet
-				h.order(ctx, now, in, orderKey{service.Name, d.Name, false}, plan[d.Name].Lasting)
+			if !h.fleetSettled[service.Name] { // running servers may not have registered yet
+				reclaimable()
+				continue
+			}
+			// After a completed rollout the domain may be full of on-demand servers: reclaimable ones can start only once
+			// those that the plan does not need are given up.
+			onDemandFirst := h.n.rollouts.completed(service.Name) && plan[d.Name].Lasting < d.Lasting
+			if !onDemandFirst {
+				reclaimable()
+			}
+			h.order(ctx, now, in, orderKey{service.Name, d.Name, false}, plan[d.Name].Lasting)
+			if onDemandFirst {
+				reclaimable()
 			}
 		}
 	}
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -103,8 +105,8 @@
 	// era of the store.
 	heardAt, returnedAt time.Time
 	stored              storedStatus
-	// finalSince is when the outcome was first seen to be in the store.
-	finalSince time.Time
+	// versionsSince is when the set of versions that run last changed.
+	versionsSince time.Time
 }
 
 func newRollouts(o Options) *rollouts {
@@ -195,6 +197,7 @@
 }
 
 func (s *serviceVersions) setServers(servers []serving.Server, now time.Time) {
+	before := s.ready
 	s.servers, s.ready = servers, map[string]int{}
 	seen := make(map[serverProcess]time.Time, len(servers))
 	for _, server := range servers {
@@ -210,9 +213,31 @@
 		}
 	}
 	s.firstSeen = seen
+	if !maps.Equal(versionsOf(before), versionsOf(s.ready)) {
+		s.versionsSince = now
+	}
 	s.rankCanaries(now)
 }
 
+func versionsOf(ready map[string]int) map[string]bool {
+	out := make(map[string]bool, len(ready))
+	for version := range ready {
+		out[version] = true
+	}
+	return out
+}
+
+// oldest returns the start of the oldest ready server of a version.
+func (s *serviceVersions) oldest(version string) (born int64) {
+	born = math.MaxInt64
+	for _, server := range s.servers {
+		if server.State == serving.Ready && server.Version == version {
+			born = min(born, server.Born)
+		}
+	}
+	return born
+}
+
 // rankCanaries orders the new servers in the same way on all nodes, so that few of them get all canary requests. Servers
 // of different failure domains alternate. Servers that are still cold would look like a slow version.
 func (s *serviceVersions) rankCanaries(now time.Time) {
@@ -289,8 +314,8 @@
 	return seen
 }
 
-// updateInForce determines the version in force: the one that was, as long as it has servers, else the one of most
-// servers. A version that is being rolled out or was reverted is in force only if no other one has servers.
+// updateInForce determines the version in force: the one that was, as long as it has servers, else the one of the oldest
+// server. A version that is being rolled out or was reverted is in force only if no other one has servers.
 func (r *rollouts) updateInForce(s *serviceVersions) {
 	excluded, hasExcluded := "", false
 	if s.state != nil {
@@ -307,13 +332,15 @@
 	if s.ready[s.inForce] > 0 && !(hasExcluded && s.inForce == excluded) {
 		return
 	}
-	best, most := "", 0
+	best, most, oldest := "", 0, int64(0)
 	for version, n := range s.ready {
 		if hasExcluded && version == excluded {
 			continue
 		}
-		if n > most || n == most && version < best {
-			best, most = version, n
+		// A version that is being rolled out may have as many servers as the one in force, or more.
+		if born := s.oldest(version); most == 0 || born < oldest ||
+			born == oldest && (n > most || n == most && version < best) {
+			best, most, oldest = version, n, born
 		}
 	}
 	switch {
@@ -358,6 +385,10 @@
 	case now.Sub(s.heardAt) > r.silence():
 		return s.withFallback(old, fresh)
 	case phase == rollout.All || phase == rollout.Completing:
+		// Old servers stop at once when the rollout completes, so a request there would be cut off.
+		if s.ready[s.state.To] > 0 {
+			return []filter{fresh}
+		}
 		return []filter{fresh, old}
 	}
 	if len(req.triedServers) > 0 || !s.state.Allows(s.gate, now) || rand.Float64() >= s.state.RouteShare(nameHash(req.route.Name), now) {
@@ -403,8 +434,9 @@
 	return server.Version == s.inForce
 }
 
-// maxFleetHold is how long after a rollout's outcome the servers of the version that leaves keep the fleet as it is. They
-// stop within seconds; ones that do not must not keep the fleet from following the load for good.
+// maxFleetHold limits how long servers of two versions keep the fleet as it is after the last change of the rollout's phase
+// or, without an order, of the versions that run. A rollout that goes on changes its phase more often, and servers that
+// leave stop within seconds.
 const maxFleetHold = 15 * time.Second
 
 // holdsFleet reports whether the number of servers of a service must not be ordered now, because servers of two versions
@@ -417,24 +449,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.services[service]
-	if s == nil || s.state == nil {
+	if s == nil {
 		return false
 	}
-	leaving := s.state.To
-	switch s.state.Phase() {
-	case rollout.Completed:
-		leaving = s.state.From
-	case rollout.Reverted:
-	default:
-		s.finalSince = time.Time{}
-		return now.Before(s.state.Start.Add(s.state.Duration + maxFleetHold))
-	}
-	if s.finalSince.IsZero() {
-		s.finalSince = now
+	since := s.versionsSince
+	if s.state != nil {
+		if phaseSince := s.state.Since(); phaseSince.After(since) {
+			since = phaseSince
+		}
+		// The new servers start soon after the order.
+		if s.state.Phase() == rollout.Canary && now.Before(s.state.Start.Add(maxServerStart)) {
+			return true
+		}
 	}
-	return s.state.From != s.state.To && s.ready[leaving] > 0 && now.Before(s.finalSince.Add(maxFleetHold))
+	return len(s.ready) > 1 && now.Before(since.Add(maxFleetHold))
 }
 
+// maxServerStart is how long after an order the servers of the new version are expected to start.
+const maxServerStart = 5 * time.Second
+
 // completed reports whether the last rollout of a service has been completed.
 func (r *rollouts) completed(service string) bool {
 	r.mu.Lock()
--- a/internal/edge/rolloutnews.go
+++ b/internal/edge/rolloutnews.go
@@ -43,7 +43,7 @@
 	}
 	s.state = rollout.NewRollout(o, from, r.bounds, start)
 	s.gate, s.recorder, s.heardAt = rollout.NewGate(r.bounds, rand.Float64(), slack), rollout.NewRecorder(), now
-	if s.inForce == o.To && len(s.ready) == 1 && s.ready[o.To] > 0 {
+	if from == o.To && s.inForce == o.To && len(s.ready) == 1 && s.ready[o.To] > 0 {
 		s.state.From = o.To
 		s.state.Adopt(rollout.Completing, "", now) // there is nothing to do
 	} else if from == o.To {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -147,6 +147,9 @@
 // Phase returns the current phase.
 func (r *Rollout) Phase() Phase { return r.phase }
 
+// Since returns when the current phase began.
+func (r *Rollout) Since() time.Time { return r.since }
+
 // Verdict returns the last judgement.
 func (r *Rollout) Verdict() Verdict { return r.verdict }
 
