--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -80,7 +80,7 @@
 	defer b.mu.Unlock()
 	candidates := b.candidates(r.Choice, now)
 	preferred := rendezvousServers(r.Prompt, candidates)
-	shuffle(candidates)
+	b.shuffle(candidates)
 	compared := 0
 	var best *server
 	var bestScore, bestExpected time.Duration
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -11,6 +11,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	withheld   map[string]withheld // by server id
 	// sharedMachines holds the services whose servers report the work time of their machines.
 	sharedMachines map[string]bool
+	// random breaks ties and spreads the choices of different nodes; guarded by mu.
+	random *rand.Rand
 }
 
 type server struct {
@@ -83,7 +86,8 @@
 // NewBoard returns a Board for a node in the given failure domain.
 func NewBoard(domain string) *Board {
 	return &Board{domain: domain, servers: map[string]*server{}, groups: map[string][]*server{}, peers: map[string]*peerLoads{},
-		unreported: map[string]float64{}, withheld: map[string]withheld{}, sharedMachines: map[string]bool{}}
+		unreported: map[string]float64{}, withheld: map[string]withheld{}, sharedMachines: map[string]bool{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 // SetServers replaces the set of servers. The state of a server that was restarted or has moved to another address is
--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -48,7 +48,7 @@
 	var bestScore time.Duration
 	for _, s := range b.candidates(c, now) {
 		jitter := time.Duration(b.unreported[c.Service] / float64(max(s.Slots, 1)) * float64(max(s.latency, defaultPlainLatency)))
-		score := plainScore(b.total(s, now), s.Slots, s.latency) + b.commonPenalty(s, now) + randomBelow(min(jitter, maxJitter))
+		score := plainScore(b.total(s, now), s.Slots, s.latency) + b.commonPenalty(s, now) + b.randomBelow(min(jitter, maxJitter))
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -61,7 +61,7 @@
 
 // commonPenalty returns the part of the score that is common to all kinds of servers.
 func (b *Board) commonPenalty(s *server, now time.Time) time.Duration {
-	penalty := randomBelow(minJitter)
+	penalty := b.randomBelow(minJitter)
 	if s.Domain != b.domain {
 		penalty += domainPenalty
 	}
--- a/pkg/placement/unseen.go
+++ b/pkg/placement/unseen.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 const (
 	// unreportedTolerance is the number of unreported requests per server up to which reported loads are accurate enough.
@@ -32,23 +29,23 @@
 // inSample reports whether an engine is compared for a request, given the number of those already compared. Engines that
 // are expected to have parts of the prompt cached always are.
 func (b *Board) inSample(service string, holdsPrompt bool, compared int) bool {
-	return holdsPrompt || compared < minSample || rand.Float64() < 1/(1+b.unreported[service])
+	return holdsPrompt || compared < minSample || b.random.Float64() < 1/(1+b.unreported[service])
 }
 
 // engineJitter returns the random part of an engine's score.
 func (b *Board) engineJitter(service string) time.Duration {
-	return randomBelow(min(time.Duration(b.unreported[service]*float64(jitterPerUnreported)), maxJitter))
+	return b.randomBelow(min(time.Duration(b.unreported[service]*float64(jitterPerUnreported)), maxJitter))
 }
 
 // randomBelow returns a random duration below a limit, or 0 if the limit is not positive.
-func randomBelow(limit time.Duration) time.Duration {
+func (b *Board) randomBelow(limit time.Duration) time.Duration {
 	if limit <= 0 {
 		return 0
 	}
-	return rand.N(limit)
+	return time.Duration(b.random.Int64N(int64(limit)))
 }
 
 // shuffle randomises the order of candidates, so that nodes do not all compare the same minimum sample.
-func shuffle(servers []*server) {
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+func (b *Board) shuffle(servers []*server) {
+	b.random.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 }
