--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -9,7 +9,6 @@
 	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/pb"
 	"github.com/pollenlug/pollenlug/internal/strikewire"
-	"github.com/pollenlug/pollenlug/pkg/placement"
 	"github.com/pollenlug/pollenlug/pkg/quota"
 	"github.com/pollenlug/pollenlug/pkg/usage"
 )
@@ -35,10 +34,7 @@
 	if at := n.crashes.tracker.LastServed(); !at.IsZero() {
 		b.ServedAgeMs = proto.Uint32(strikewire.AgeMillis(at, now))
 	}
-	for id, load := range n.board.OwnLoads(now) {
-		b.Loads = append(b.Loads, &pb.ServerUse{Server: nameHash(id), Running: uint32(load.Running),
-			PrefillTokens: uint32(load.Prefill), Failures: uint32(10 * load.Failures)})
-	}
+	b.Loads = n.exportLoads(now)
 	for _, u := range n.quota.Export(now) {
 		b.Uses = append(b.Uses, &pb.WorkspaceUse{Workspace: nameHash(u.Workspace), Total: int64(u.Total), Level: int64(u.Level)})
 	}
@@ -62,7 +58,9 @@
 		return
 	}
 	name := incarnation(heartbeat.Node, heartbeat.Started)
-	n.board.SetPeer(heartbeat.Node, n.serverLoads(heartbeat), now)
+	loads, reports := n.serverLoads(heartbeat)
+	n.board.SetPeer(heartbeat.Node, loads, now)
+	n.board.SetPeerReports(reports, now)
 	older := heartbeat.Started < n.started.Add(-startSkew).UnixMilli()
 	n.quota.ApplyReport(name, n.workspaceUses(heartbeat), older, now)
 	n.quota.SetNodes(n.peers.knownNodes())
@@ -102,18 +100,6 @@
 	return uses
 }
 
-// serverLoads maps the server hashes of a heartbeat to server ids; unknown servers are skipped.
-func (n *Node) serverLoads(heartbeat *pb.PeerBeat) map[string]placement.Load {
-	ids := n.board.IDsByHash(nameHash)
-	loads := make(map[string]placement.Load, len(heartbeat.Loads))
-	for _, l := range heartbeat.Loads {
-		if id, ok := ids[l.Server]; ok {
-			loads[id] = placement.Load{Running: float64(l.Running), Prefill: float64(l.PrefillTokens), Failures: float64(l.Failures) / 10}
-		}
-	}
-	return loads
-}
-
 // startSkew is the largest assumed difference between the clocks of two machines when their start times are compared.
 const startSkew = 2 * time.Second
 
@@ -136,6 +122,7 @@
 		for service, rate := range requests {
 			servers := len(n.board.Servers(service))
 			n.board.SetUnreported(service, rate*n.peers.heartbeatInterval().Seconds()/float64(max(servers, 1)))
+			n.board.SetArrivals(service, rate, n.peers.heartbeatInterval())
 		}
 	}
 }
--- a/internal/edge/peersend.go
+++ b/internal/edge/peersend.go
@@ -98,13 +98,22 @@
 	composed   time.Time
 	serversAge uint32 // of the view of servers when the heartbeat was composed, in ms
 	changesAge uint32
+	// reports are those of servers, reportAges their ages when the heartbeat was composed.
+	reports    []*pb.ServerReport
+	reportAges []uint32
 	encoded    time.Time
 	data       []byte
 }
 
 func newPacedHeartbeat(p *peers, heartbeat *pb.PeerBeat, now time.Time) *pacedHeartbeat {
-	return &pacedHeartbeat{p: p, heartbeat: heartbeat, composed: now,
+	b := &pacedHeartbeat{p: p, heartbeat: heartbeat, composed: now,
 		serversAge: heartbeat.GetServers().GetAgeMs(), changesAge: heartbeat.GetChanges().GetAgeMs()}
+	for _, l := range heartbeat.Loads {
+		if l.Report != nil {
+			b.reports, b.reportAges = append(b.reports, l.Report), append(b.reportAges, l.Report.AgeMs)
+		}
+	}
+	return b
 }
 
 // datagram returns the heartbeat encoded with the ages as of now, or nil if it cannot be encoded.
@@ -119,6 +128,9 @@
 	if b.heartbeat.Changes != nil {
 		b.heartbeat.Changes.AgeMs = b.changesAge + elapsed
 	}
+	for i, r := range b.reports {
+		r.AgeMs = b.reportAges[i] + elapsed
+	}
 	b.data, b.encoded = b.p.encode(b.heartbeat), now
 	return b.data
 }
