edge: fill and observe placement by cost; a second server for idempotent calls

Cause: the relay tells placement nothing of routes, workspaces, hints and events, and a call that waits on a server that became slow is given up only after its target. Change: pickServer fills EngineRequest, copyEvents counts events, sendTo exports predicted and measured costs (metrics, log fields). An idempotent call that would miss its target on its server is sent to a second one at the same time, within the retry budget; the first usable response counts and the other send is canceled.

--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -61,7 +61,7 @@
 }
 
 // sendPlain sends a request of a non-streaming route to a server and passes the response to the caller.
-func (n *Node) sendPlain(ctx context.Context, req *request, ticket *placement.Ticket) sendResult {
+func (n *Node) sendPlain(ctx context.Context, req *request, ticket *placement.Ticket) (result sendResult) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := n.startStallTimer(req, ticket, cancel)
@@ -70,7 +70,11 @@
 	if err != nil {
 		return sendResult{status: notSent, reason: "invalid_request"}
 	}
-	resp, reused, err := n.exchange(out)
+	resp, reused, second, err := n.exchangeInTime(ctx, req, out, ticket, timer)
+	defer func() { result.second = second }()
+	if second != nil {
+		ticket = second.ticket
+	}
 	if err != nil {
 		return classify(ctx, err)
 	}
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -88,6 +88,9 @@
 		fields[logline.Expected], fields[logline.Left] = req.expected.Milliseconds(), req.refusalTimeLeft.Milliseconds()
 		fields[logline.Target] = req.route.LatencyTarget.Milliseconds()
 	}
+	if req.measuredCost > 0 {
+		fields[logline.PredictedCost], fields[logline.MeasuredCost] = costMillis(req.predictedCost), costMillis(req.measuredCost)
+	}
 	if req.logDigest {
 		fields[logline.Digest] = req.content.Digest
 		if parts := req.SharedParts(); len(parts) > 0 {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -67,6 +67,8 @@
 	connRefused, connLost bool
 	// unsent is set if the send was canceled before a byte of the request left this node.
 	unsent bool
+	// second is set if the result is that of another server than the one that the request was sent to first.
+	second *secondSend
 	// retryReserved is set if a retry has already been taken from the budget.
 	retryReserved bool
 }
@@ -170,12 +172,12 @@
 // latency target and the deadline can be met.
 func (n *Node) pickServer(req *request) (*placement.Ticket, *code.Error) {
 	now := time.Now()
-	choice := placement.Choice{Service: req.service.Name, Exclude: req.triedServers, Allowed: n.outliers.Allow}
+	choice := n.choice(req)
 	var ticket *placement.Ticket
 	if req.service.Engine == nil {
 		ticket = n.board.PickPlain(choice, now)
 	} else {
-		ticket = n.board.PickEngine(placement.EngineRequest{Choice: choice, Prompt: req.Prompt, PromptTokens: req.PromptTokens}, now)
+		ticket = n.board.PickEngine(engineRequest(req, choice), now)
 	}
 	if req.service.Engine == nil && req.sends == 0 {
 		n.demand.add(req.service.Name, 0, 0, now)
@@ -208,12 +210,17 @@
 // sendTo sends a request to one server and reports the outcome to the load, outlier and crash tracking.
 func (n *Node) sendTo(ctx context.Context, req *request, stream *streamRelay, ticket *placement.Ticket, run *strike.Run) sendResult {
 	var result sendResult
+	req.run = run
 	if req.route.Stream {
 		result = stream.send(ctx, ticket, run)
 	} else {
 		result = n.sendPlain(ctx, req, ticket)
 	}
 	result.ticket = ticket
+	if result.second != nil {
+		ticket, run = result.second.ticket, result.second.run
+		result.ticket = ticket
+	}
 	now := time.Now()
 	switch result.status {
 	case delivered:
@@ -224,6 +231,7 @@
 		ticket.End(placement.Served, now)
 		n.outliers.Observe(ticket.Server.ID, true)
 		run.End(runOutcome(result), now)
+		n.observeCost(req, ticket)
 	case notRun:
 		ticket.End(placement.Refused, now)
 		run.End(strike.Abandoned, now)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -181,6 +181,7 @@
 		}
 		if complete := pending.complete(); len(complete) > 0 {
 			ticket.FirstEvent(time.Now())
+			ticket.Events(countEvents(complete), time.Now())
 			run.Answering(time.Now())
 			if s.req.firstEvent == 0 {
 				s.req.firstEvent = time.Since(s.req.sentAt)
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -60,6 +60,9 @@
 	Expected = "expected_ms"
 	Left     = "left_ms"
 	Target   = "target_ms"
+	// PredictedCost and MeasuredCost are the time of a whole server that a request was predicted to take and took, in ms.
+	PredictedCost = "predicted_cost_ms"
+	MeasuredCost  = "cost_ms"
 )
 
 // Outcomes of requests in addition to the result codes.
