placement: servers that were slow are tried again

Change: of the requests of all nodes about 10 a second, repeatable and short ones, try a server that was slow and has not been heard of for 0.4 s. The mean speed follows the last 2 s, a report counts in it for 0.3 s at most. Heartbeats carry 12 reports of 0.25 s, those with counts first.

--- a/pkg/placement/enginecost.go
+++ b/pkg/placement/enginecost.go
@@ -88,6 +88,9 @@
 		o.penalty += memoryPenalty(o.server, float64(r.CacheTokens), memory, unseenEach)
 	}
 	index, extra := choose(options, engineUnseenFactor*unseenEach*float64(len(options)), b.random.Float64())
+	if float64(r.PromptTokens) < rates.Prompt {
+		index = b.trial(&r.Choice, options, index, now)
+	}
 	return &options[index], seconds(options[index].expected(extra)), memory, true
 }
 
--- a/pkg/placement/plaincost.go
+++ b/pkg/placement/plaincost.go
@@ -1,18 +1,12 @@
 package placement
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// unseenFactor corrects the number of requests that are not seen yet, which is computed without their waiting for slots
 	// and for equal work. In replays of 26 nodes with skewed work, 0.171 of the calls are late with 1, 0.147 with 2, 0.138
 	// with 3 and 0.144 with 5.
 	unseenFactor = 3
-	// repeatableTrial is the weight of the sign that a server is slow, for requests that may be sent again: they find out
-	// first that it has recovered.
-	repeatableTrial = 0.5
 	// secondGain is how many times longer the first server must be expected to take than a second one for a request to be
 	// sent again.
 	secondGain = 1.5
@@ -50,6 +44,7 @@
 		unseen += b.fillPlain(o, c, work, round, now)
 	}
 	index, extra := choose(options, unseenFactor*unseen, b.random.Float64())
+	index = b.trial(c, options, index, now)
 	return &options[index], seconds(options[index].expected(extra)), true
 }
 
@@ -57,9 +52,6 @@
 func (b *Board) fillPlain(o *option, c *Choice, work, round float64, now time.Time) (unseen float64) {
 	s := o.server
 	o.workTime = s.workTime(b.costs.SpeedMemory(s.Service), now)
-	if c.Repeatable && s.shared.workTime > 0 {
-		o.workTime *= math.Pow(min(s.shared.workTime/o.workTime, 1), repeatableTrial)
-	}
 	memory := b.costs.SpeedMemory(s.Service)
 	o.round = round * s.workTimeOver(round, memory, now)
 	fresh := freshness(s.shared.countedAt, seconds(o.round), now)
--- a/pkg/placement/shared.go
+++ b/pkg/placement/shared.go
@@ -7,8 +7,16 @@
 )
 
 const (
-	// usualMemory is the time constant of the mean work time of a server, to which older reports give way.
-	usualMemory = 3 * time.Second
+	// usualMemory is the time constant of the mean work time of a server, to which older reports give way, and maxInForce the
+	// longest time for which a report counts in it.
+	usualMemory = 2 * time.Second
+	maxInForce  = 300 * time.Millisecond
+	// A server that worked at less than 1/slowUsual of its usual speed and has not been heard of for trialAfter gets trialRate
+	// requests per second of all nodes, so that its recovery is noticed; at most maxTrialShare of a node's requests.
+	slowUsual     = 1.5
+	trialAfter    = 400 * time.Millisecond
+	trialRate     = 10.0
+	maxTrialShare = 0.05
 	// evidenceHalfLife is the half-life of what measured times say about a server's speed. A server that was slow gets
 	// requests again within two seconds of its recovery.
 	evidenceHalfLife = 700 * time.Millisecond
@@ -31,9 +39,9 @@
 	// usual time of an event.
 	maxReferenceAge = 40 * time.Millisecond
 	// reportShareAge is the largest age of a report that is passed on to other nodes, and maxSharedReports how many are: at
-	// 26 nodes about 5 are new between two heartbeats, and each takes 14 bytes.
-	reportShareAge   = 400 * time.Millisecond
-	maxSharedReports = 24
+	// 26 nodes about 5 are new between two heartbeats, and each takes 15 bytes. Replays are the same with 24 of 400 ms.
+	reportShareAge   = 250 * time.Millisecond
+	maxSharedReports = 12
 )
 
 // Report is a load that a server has reported to some node.
@@ -94,7 +102,7 @@
 		}
 		// The report before was in force until this one.
 		if s.shared.workTime > 0 {
-			weight := 1 - math.Exp(-float64(min(at.Sub(s.shared.at), usualMemory))/float64(usualMemory))
+			weight := 1 - math.Exp(-float64(min(at.Sub(s.shared.at), maxInForce))/float64(usualMemory))
 			s.shared.usual += weight * (s.shared.workTime - s.shared.usual)
 			s.shared.usualSpeed += weight * (1/s.shared.workTime - s.shared.usualSpeed)
 		}
@@ -169,6 +177,25 @@
 	return weight*current + (1-weight)/s.shared.usualSpeed
 }
 
+// trial returns the index of a server that a request should try because nothing has been heard of it since it was slow, or
+// index. Only repeatable requests do, which can be sent to a second server, and of them those that are short.
+//
+// Load pattern: a server becomes slow for some seconds, and all nodes stop using it. None of them then notices that it has
+// recovered, and if all assumed so at the same time, each trial of a server that is still slow would make many requests late.
+func (b *Board) trial(c *Choice, options []option, index int, now time.Time) int {
+	if !c.Repeatable {
+		return index
+	}
+	share := min(trialRate/max(b.arrivals[c.Service].perSecond, 1), maxTrialShare)
+	for i := range options {
+		s := &options[i].server.shared
+		if s.usual > slowUsual && now.Sub(s.at) > trialAfter && s.unanswered == 0 && b.random.Float64() < share {
+			return i
+		}
+	}
+	return index
+}
+
 // addEvidence records the logarithm of the ratio of a measured to an expected time.
 func (s *server) addEvidence(logRatio float64, now time.Time) {
 	decayed := s.shared.evidence * math.Exp2(-float64(now.Sub(s.shared.evidenceAt))/float64(evidenceHalfLife))
@@ -220,7 +247,13 @@
 			fresh = append(fresh, s)
 		}
 	}
-	slices.SortFunc(fresh, func(x, y *server) int { return y.shared.ownReportAt.Compare(x.shared.ownReportAt) })
+	// Reports of servers come before measured speeds, of which streams yield many: calls to plain servers depend on them.
+	slices.SortFunc(fresh, func(x, y *server) int {
+		if x.shared.ownReport.HasCounts != y.shared.ownReport.HasCounts {
+			return map[bool]int{true: -1, false: 1}[x.shared.ownReport.HasCounts]
+		}
+		return y.shared.ownReportAt.Compare(x.shared.ownReportAt)
+	})
 	out := make(map[string]Report, min(len(fresh), maxSharedReports))
 	for _, s := range fresh[:min(len(fresh), maxSharedReports)] {
 		r := s.shared.ownReport
