placement: pauses are measured over 50 ms; large requests avoid fuller caches

Cause: a busy node reads several events at once after some that it was late for, so single pauses make engines look five times faster; two nodes fill the same KV cache at a time. Change: pauses are averaged over at least 50 ms; a graded penalty keeps large requests away from fuller caches.

--- a/pkg/placement/bycost.go
+++ b/pkg/placement/bycost.go
@@ -154,8 +154,10 @@
 	events, memory float64
 	seen           float64 // events received
 	// expected is the expected time before it is corrected by how wrong these times usually are.
-	expected     time.Duration
-	lastAt       time.Time
+	expected time.Duration
+	// pauses is the number of pauses between events since pausesFrom.
+	pauses       int
+	pausesFrom   time.Time
 	workTime     float64 // that was assumed
 	prefillShare float64 // of the expected time
 	predicted    float64 // cost in server-seconds
@@ -191,6 +193,10 @@
 	return t.byCost.measured
 }
 
+// minPauseSpan is the shortest time over which pauses between events are measured: a busy node reads several events at once
+// after some that it was late for.
+const minPauseSpan = 50 * time.Millisecond
+
 // Events records output events of the server.
 func (t *Ticket) Events(n int, now time.Time) {
 	if t.byCost == nil || n <= 0 {
@@ -202,11 +208,16 @@
 		return
 	}
 	c := t.byCost
-	if c.seen > 0 {
-		t.board.observePause(t.server, now.Sub(c.lastAt)/time.Duration(n), now)
+	if c.seen == 0 {
+		c.pausesFrom = now
+	} else {
+		c.pauses += n
+	}
+	if span := now.Sub(c.pausesFrom); span >= minPauseSpan {
+		t.board.observePause(t.server, span/time.Duration(c.pauses), now)
+		c.pausesFrom, c.pauses = now, 0
 	}
 	c.seen += float64(n)
-	c.lastAt = now
 	done := min(float64(n), c.events)
 	c.events -= done
 	t.server.own.Events = max(0, t.server.own.Events-done)
--- a/pkg/placement/enginecost.go
+++ b/pkg/placement/enginecost.go
@@ -28,6 +28,9 @@
 	// predicted lengths preempt nothing; preemptionPenalty is added above, in seconds: what a preempted request loses.
 	usableMemory      = 0.9
 	preemptionPenalty = 2.0
+	// fillPenalty, in seconds, keeps large requests away from caches that are fuller than others, which two nodes could fill up
+	// at the same time.
+	fillPenalty = 0.5
 	// maxTailRatio bounds the ratio of the tail of an output to its median that memory is reserved for.
 	maxTailRatio = 4
 	// rendezvousRanks is how many servers in rendezvous order are looked at for some that can take the request.
@@ -155,7 +158,7 @@
 	reserved := s.own.Memory + max(0, s.shared.peers.Memory)
 	over := reserved + needed*(1+unseenEach) - usableMemory*capacity
 	if over <= 0 {
-		return 0
+		return fillPenalty * needed / capacity * reserved / capacity
 	}
 	return preemptionPenalty * (1 + over/capacity)
 }
