--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -44,6 +44,9 @@
 func (b *Board) PickPlain(c Choice, now time.Time) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.sharedMachines[c.Service] {
+		return b.pickPlainByCost(&c, now)
+	}
 	var best *server
 	var bestScore time.Duration
 	candidates := b.candidates(c, now)
@@ -51,7 +54,7 @@
 	for _, s := range candidates {
 		load := b.total(s, now)
 		jitter := time.Duration(b.unreported[c.Service] / float64(max(s.Slots, 1)) * float64(max(s.latency, defaultPlainLatency)))
-		score := plainScore(load, s.Slots, s.latency) + failureCost(load.Failures, usual) + b.commonPenalty(s, now) + randomBelow(min(jitter, maxJitter))
+		score := plainScore(load, s.Slots, s.latency) + failureCost(load.Failures, usual) + b.commonPenalty(s, now) + b.randomBelow(min(jitter, maxJitter))
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -73,7 +76,7 @@
 
 // commonPenalty returns the part of the score that is common to all kinds of servers.
 func (b *Board) commonPenalty(s *server, now time.Time) time.Duration {
-	penalty := randomBelow(minJitter)
+	penalty := b.randomBelow(minJitter)
 	if s.Domain != b.domain {
 		penalty += domainPenalty
 	}
