untrusted: results are not taken from the test cache when the program changes

The tests start a binary that they build, so go test did not know that they depend on the program, and printed cached results after a change. They import the package of the commands now.

--- a/internal/untrusted/process_test.go
+++ b/internal/untrusted/process_test.go
@@ -17,6 +17,8 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	// The results of these tests must not be taken from the cache when the program changes.
+	_ "github.com/pollenlug/pollenlug/internal/cli"
 	"github.com/pollenlug/pollenlug/platform/standin"
 )
 
