callerguard: headers and connections of clients are limited before net/http parses them

Cause: net/http parses a header of up to 64 KB, whatever the configuration says, into a map of up to about 15 times its size; nothing counted that, and nothing limited connections.

Change: package headerlimit follows the requests on each connection, counts bytes, lines and empty lines while they arrive, and decides which connections stay open; package callerguard wraps the listeners of both front ends and of the ready, registry, control and metrics addresses. Headers take memory from the node's account; above it the headers begun last are closed. Connections are limited by the descriptors; a new one replaces the one that has waited longest for its header, so that a crowd does not shut out ordinary clients. Refused connections are counted by reason and logged once a second at most. HTTPS of the first front end speaks HTTP/1.1 only, because headers of HTTP/2 would not be counted. Timeouts of callerConns moved into the guard and hold on all addresses.

--- a/internal/edge/callerconns.go
+++ b/internal/edge/callerconns.go
@@ -1,97 +1,81 @@
 package edge
 
 import (
-	"context"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/pollenlug/pollenlug/internal/clock"
+	"github.com/pollenlug/pollenlug/internal/callerguard"
+	"github.com/pollenlug/pollenlug/pkg/headerlimit"
 	"github.com/pollenlug/pollenlug/pkg/serving"
 )
 
-// connSweepInterval is how often caller connections are checked for timeouts.
-const connSweepInterval = 250 * time.Millisecond
+const (
+	// callerIdleTimeout closes unused caller connections. It exceeds any configured timeout, which package callerguard
+	// enforces.
+	callerIdleTimeout = 3 * time.Minute
+	// callerHeaderTimeout limits the time for a request header until a configuration, whose own limit is usually a few
+	// seconds, is in force, and callerHeaderBytes its size.
+	callerHeaderTimeout = 30 * time.Second
+	callerHeaderBytes   = 64 << 10
+	// serverHeaderBytes is the limit of net/http, which is fixed at start. It exceeds any configured limit, which package
+	// callerguard enforces.
+	serverHeaderBytes = 16 << 20
 
-// callerConns closes caller connections that stay idle, or take longer to send a header, than the configuration allows.
-// The timeouts of http.Server can't be used: they are fixed at start, and the configuration changes later.
-type callerConns struct {
-	log    *logrus.Entry
-	limits func() serving.Limits
+	// callerHeaderShare is the fraction of the memory account that headers on the address of callers may take, and
+	// otherHeaderShare the fraction for the other addresses together. Bodies and responses keep the rest.
+	callerHeaderShare = 0.5
+	otherHeaderShare  = 0.125
+	// connectionMemory is the memory of one connection, in bytes: a goroutine, two buffers of 4 KB and a header that
+	// takes nothing of the account. connectionMemoryShare is the fraction of the memory for those of callers.
+	connectionMemory      = 24 << 10
+	connectionMemoryShare = 0.35
 
-	mu    sync.Mutex
-	conns map[net.Conn]*callerConn
-}
+	// fileDescriptors are those kept for files and the process itself, at most a fourth of all. Of the others,
+	// callerDescriptorShare may be connections of callers, directoryDescriptorShare those that query the directory and
+	// otherDescriptorShare those of each other address. The rest is for servers, the store and other nodes.
+	fileDescriptors          = 200
+	callerDescriptorShare    = 0.5
+	directoryDescriptorShare = 0.1
+	otherDescriptorShare     = 0.03
+	// minConnections is the least number of connections of an address.
+	minConnections = 16
+)
 
-// callerConn is the state of a connection that is not serving a request.
-type callerConn struct {
-	idle  bool // between two requests; otherwise waiting for a request header
-	since time.Time
+// endpoint is an address of the node.
+type endpoint struct {
+	addr    string
+	handler http.Handler
+	guard   *callerguard.Guard
 }
 
-type connKey struct{}
-
-// attach registers the connection hooks of c on a server.
-func (c *callerConns) attach(server *http.Server) {
-	server.ConnState = func(conn net.Conn, state http.ConnState) { c.stateChanged(conn, state, time.Now()) }
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
+// endpoints returns the addresses of the node with the limits of their connections.
+func (n *Node) endpoints() []endpoint {
+	descriptors := callerguard.Descriptors(n.settings.Descriptors)
+	descriptors -= min(fileDescriptors, descriptors/4)
+	callers := headerlimit.NewBudget(int64(callerHeaderShare*float64(n.memory.size)), n.memory)
+	others := headerlimit.NewBudget(int64(otherHeaderShare*float64(n.memory.size)), n.memory)
+	byMemory := int(connectionMemoryShare * float64(n.settings.MemoryBytes) / connectionMemory)
+	guard := func(budget *headerlimit.Budget, share float64) *callerguard.Guard {
+		connections := max(min(int(share*float64(descriptors)), byMemory), minConnections)
+		return callerguard.New(callerguard.Options{Limits: n.headerLimits, Budget: budget, Connections: connections, Metrics: n.metrics, Log: n.log})
 	}
-}
-
-func (c *callerConns) stateChanged(conn net.Conn, state http.ConnState, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch state {
-	case http.StateNew, http.StateActive:
-		c.conns[conn] = &callerConn{since: now}
-	case http.StateIdle:
-		c.conns[conn] = &callerConn{idle: true, since: now}
-	case http.StateHijacked, http.StateClosed:
-		delete(c.conns, conn)
+	return []endpoint{
+		{n.settings.CallerAddr, http.HandlerFunc(n.serveRequest), guard(callers, callerDescriptorShare)},
+		{n.settings.ReadyAddr, n.readyHandler(), guard(others, otherDescriptorShare)},
+		{n.settings.DirectoryAddr, n.directoryHandler(), guard(others, directoryDescriptorShare)},
+		{n.settings.ControlAddr, n.controlHandler(), guard(others, otherDescriptorShare)},
+		{n.settings.MetricsAddr, n.metrics, guard(others, otherDescriptorShare)},
 	}
 }
 
-// headerReceived marks the connection of ctx as serving a request: its header is complete.
-func (c *callerConns) headerReceived(ctx context.Context) {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	if !ok {
-		return
+// headerLimits returns the limits of the configuration in force, with the default size of a header where it has none.
+func (n *Node) headerLimits() headerlimit.Limits {
+	limits := serving.Limits{}
+	if c := n.config.Load(); c != nil {
+		limits = c.Limits
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.conns, conn)
-}
-
-// run closes connections that exceed their timeout until ctx ends.
-func (c *callerConns) run(ctx context.Context) {
-	for clock.Sleep(ctx, connSweepInterval) {
-		for _, conn := range c.expired(time.Now()) {
-			if err := conn.Close(); err != nil {
-				c.log.WithError(err).Debug("closing caller connection failed")
-			}
-		}
-	}
-}
-
-// expired removes and returns the connections that exceed their timeout.
-func (c *callerConns) expired(now time.Time) []net.Conn {
-	limits := c.limits()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []net.Conn
-	for conn, state := range c.conns {
-		limit := limits.HeaderTimeout
-		if state.idle {
-			limit = limits.IdleTimeout
-		}
-		if limit > 0 && now.Sub(state.since) > limit {
-			out = append(out, conn)
-			delete(c.conns, conn)
-		}
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = callerHeaderBytes
 	}
-	return out
+	return headerlimit.Limits{HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// memoryShareKept is the fraction of the memory limit that a node keeps for others at most: bodies of requests and
-	// what it has read of responses and not passed on. The garbage collector needs up to as much again.
+	// memoryShareKept is the fraction of the memory limit that a node keeps for others at most: headers and bodies of
+	// requests and what it has read of responses and not passed on. The garbage collector needs up to as much again.
 	memoryShareKept = 0.17
 	// bufferedBodyShare is the fraction of the memory limit of which one response may be kept. maxBufferedBody limits it.
 	bufferedBodyShare = 1.0 / 512
@@ -26,6 +26,8 @@
 type memoryAccount struct {
 	// maxBody is how much of one response is kept.
 	maxBody int
+	// size is the whole account.
+	size int64
 
 	mu        sync.Mutex
 	available int64
@@ -33,11 +35,13 @@
 
 // newMemoryAccount returns the account of a machine with the given memory in bytes.
 func newMemoryAccount(memory int64) *memoryAccount {
-	return &memoryAccount{available: int64(memoryShareKept * float64(memory)),
+	kept := int64(memoryShareKept * float64(memory))
+	return &memoryAccount{size: kept, available: kept,
 		maxBody: min(int(bufferedBodyShare*float64(memory)), maxBufferedBody)}
 }
 
-func (m *memoryAccount) take(n int64) bool {
+// Take takes n bytes and reports whether the account has them.
+func (m *memoryAccount) Take(n int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if n > m.available {
@@ -47,6 +51,13 @@
 	return true
 }
 
+// Give gives back n bytes.
+func (m *memoryAccount) Give(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.available += n
+}
+
 // reservation is the part of the account that one request holds. It is used by one goroutine at a time.
 type reservation struct {
 	account *memoryAccount
@@ -55,7 +66,7 @@
 
 // reserve adds n bytes and reports whether the account has them.
 func (r *reservation) reserve(n int) bool {
-	if !r.account.take(int64(n)) {
+	if !r.account.Take(int64(n)) {
 		return false
 	}
 	r.held += int64(n)
@@ -64,9 +75,7 @@
 
 // release gives back n bytes.
 func (r *reservation) release(n int) {
-	r.account.mu.Lock()
-	defer r.account.mu.Unlock()
-	r.account.available += int64(n)
+	r.account.Give(int64(n))
 	r.held -= int64(n)
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
+	"github.com/pollenlug/pollenlug/internal/callerguard"
 	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/internal/metrics"
@@ -40,13 +40,6 @@
 	serverIdleConnections = 16
 	// ejectPercent is the maximum percentage of a service's servers that are ejected as outliers at a time.
 	ejectPercent = 40
-	// callerIdleTimeout closes unused caller connections. It exceeds any configured timeout, which callerConns
-	// enforces.
-	callerIdleTimeout = 3 * time.Minute
-	// callerHeaderTimeout limits the time for a request header until a configuration, whose own limit is usually a few
-	// seconds, is in force. callerHeaderBytes limits its size.
-	callerHeaderTimeout = 30 * time.Second
-	callerHeaderBytes   = 64 << 10
 )
 
 // Options are the parts of a Node that a platform's adapter provides.
@@ -77,7 +70,7 @@
 	peers   *peers
 	fetcher *fetcher
 
-	callers  *callerConns
+	guards   []*callerguard.Guard
 	client   *httpclient.Client
 	board    *placement.Board
 	outliers *limit.Outliers
@@ -129,7 +122,6 @@
 		crashed: func(s serving.Server, now time.Time) { n.crashes.recordCrash(s, "probe_refused", now) }}
 	n.demand = newDemandMeter(now)
 	n.memory = newMemoryAccount(o.Settings.MemoryBytes)
-	n.callers = &callerConns{log: o.Log, limits: n.callerLimits, conns: map[net.Conn]*callerConn{}}
 	n.config = &configView{store: o.Store, records: o.Records, names: o.Names, log: o.Log, onChange: n.configChanged}
 	n.servers = &serverView{store: o.Store, records: o.Records, table: o.Names.ServerTable, log: o.Log,
 		onChange: n.serversChanged, entries: map[string]*serverEntry{}}
@@ -167,7 +159,7 @@
 	}
 	var work sync.WaitGroup
 	for _, run := range []func(context.Context){n.config.watch, n.servers.watch, n.peers.run, n.peers.register,
-		n.crashes.run, n.callers.run, n.logSummaries, n.estimateUnreported, n.pauses.run} {
+		n.crashes.run, n.runGuards, n.logSummaries, n.estimateUnreported, n.pauses.run} {
 		work.Go(func() { run(background) })
 	}
 	work.Go(func() { n.quarantinedRequests.run(background, n.settings.FirstStart) })
@@ -202,44 +194,28 @@
 
 // listen opens all listeners and serves them.
 func (n *Node) listen(ctx context.Context) ([]*http.Server, error) {
-	handlers := []struct {
-		addr    string
-		handler http.Handler
-	}{
-		{n.settings.CallerAddr, http.HandlerFunc(n.serveRequest)},
-		{n.settings.ReadyAddr, n.readyHandler()},
-		{n.settings.DirectoryAddr, n.directoryHandler()},
-		{n.settings.ControlAddr, n.controlHandler()},
-		{n.settings.MetricsAddr, n.metrics},
-	}
 	var servers []*http.Server
-	for _, h := range handlers {
-		listener, err := netdial.Listen(ctx, h.addr)
+	for _, e := range n.endpoints() {
+		listener, err := netdial.Listen(ctx, e.addr)
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Addr: h.addr, Handler: h.handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-			MaxHeaderBytes: callerHeaderBytes, ErrorLog: discardLog()}
-		if h.addr == n.settings.CallerAddr {
-			n.callers.attach(server)
-		}
+		server := &http.Server{Addr: e.addr, Handler: e.handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+			MaxHeaderBytes: serverHeaderBytes, ErrorLog: discardLog()}
+		e.guard.Attach(server)
+		n.guards = append(n.guards, e.guard)
 		servers = append(servers, server)
 		go func() {
-			if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
-				n.log.WithError(err).WithField("addr", h.addr).Error("listener failed")
+			if err := server.Serve(e.guard.Listener(listener)); err != nil && err != http.ErrServerClosed {
+				n.log.WithError(err).WithField("addr", e.addr).Error("listener failed")
 			}
 		}()
 	}
 	return servers, nil
 }
 
-// callerLimits returns the limits of the configuration in force, or zero limits without one.
-func (n *Node) callerLimits() serving.Limits {
-	if c := n.config.Load(); c != nil {
-		return c.Limits
-	}
-	return serving.Limits{}
-}
+// runGuards enforces the timeouts of connections until ctx ends.
+func (n *Node) runGuards(ctx context.Context) { callerguard.Run(ctx, n.log, n.guards...) }
 
 // serves reports whether callers should be sent to this node.
 func (n *Node) serves() bool { return !n.stopping.Load() && n.viewsLoaded() }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -73,7 +73,6 @@
 
 // serveRequest handles one request of a caller.
 func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request) {
-	n.callers.headerReceived(r.Context())
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
 	if n.stopping.Load() {
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -32,6 +32,7 @@
 	StoreReturned       = "store returned from a copy; what it acknowledged last is lost"
 	StoreSettled        = "return of the store settled"
 	RowsWrittenAgain    = "rows lost by the store written again"
+	ConnectionsRefused  = "connections of clients refused"
 	ConfigRowUnreadable = "configuration row cannot be read; the one before stays in force"
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -22,6 +23,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/pollenlug/pollenlug/internal/callerguard"
 	"github.com/pollenlug/pollenlug/internal/clock"
 	"github.com/pollenlug/pollenlug/internal/dispatch"
 	"github.com/pollenlug/pollenlug/internal/fleetholder"
@@ -37,6 +39,7 @@
 	"github.com/pollenlug/pollenlug/pkg/code"
 	"github.com/pollenlug/pollenlug/pkg/config"
 	"github.com/pollenlug/pollenlug/pkg/configstore"
+	"github.com/pollenlug/pollenlug/pkg/headerlimit"
 	"github.com/pollenlug/pollenlug/pkg/limit"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 	"github.com/pollenlug/pollenlug/pkg/route"
@@ -46,9 +49,14 @@
 // Limits of the HTTP server for callers. The default ones apply where the settings have no value.
 const (
 	defaultMaxHeaderBytes = 32 << 10
-	defaultHeaderTimeout  = 5 * time.Second
-	idleTimeout           = 2 * time.Minute
-	bytesPerKiB           = 1024
+	// headerMemory bounds the memory of the headers of all connections, in bytes.
+	headerMemory = 32 << 20
+	// callerDescriptorPercent is the percentage of the process's descriptors that may be connections of callers. The
+	// rest is for backend servers, the platform and files.
+	callerDescriptorPercent = 50
+	defaultHeaderTimeout    = 5 * time.Second
+	idleTimeout             = 2 * time.Minute
+	bytesPerKiB             = 1024
 	// responseExpiryInterval is how often expired responses are deleted.
 	responseExpiryInterval = 10 * time.Second
 	// claimPurgeInterval and claimPurgeRows bound the load that deleting old claims puts on the table service: 0.2
@@ -129,6 +137,7 @@
 	modelDemand  *modelDemand
 	fleet        *fleetholder.Fleet
 	server       *http.Server
+	callerGuard  *callerguard.Guard
 
 	folderFaults atomic.Pointer[folderFaults]
 	leaving      atomic.Bool
@@ -330,6 +339,15 @@
 	if edge.GetMaxHeaderKib() > 0 {
 		server.MaxHeaderBytes = int(edge.MaxHeaderKib) * bytesPerKiB
 	}
+	limits := headerlimit.Limits{HeaderBytes: server.MaxHeaderBytes, HeaderTimeout: server.ReadHeaderTimeout, IdleTimeout: server.IdleTimeout}
+	n.callerGuard = callerguard.New(callerguard.Options{
+		Limits:      func() headerlimit.Limits { return limits },
+		Budget:      headerlimit.NewBudget(headerMemory, nil),
+		Connections: callerguard.Descriptors(0) * callerDescriptorPercent / 100,
+		Metrics:     n.metrics,
+		Log:         n.log,
+	})
+	n.callerGuard.Attach(server)
 	return server
 }
 
@@ -415,12 +433,15 @@
 }
 
 func (n *Node) serve(listener net.Listener) error {
-	var err error
 	if files := n.opts.Settings.CallerTls; files != nil {
-		err = n.server.ServeTLS(listener, files.Certificate, files.Key)
-	} else {
-		err = n.server.Serve(listener)
+		certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+		if err != nil {
+			return merry.Prepend(err, "caller_tls")
+		}
+		// HTTP/2 is not offered: callerGuard counts the headers of HTTP/1.1 only.
+		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, NextProtos: []string{"http/1.1"}})
 	}
+	err := n.server.Serve(n.callerGuard.Listener(listener))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -445,6 +466,7 @@
 		n.guard.run,
 		n.purgeClaims,
 		n.publishFolderFaults,
+		func(ctx context.Context) { callerguard.Run(ctx, n.log, n.callerGuard) },
 	} {
 		wg.Go(func() { run(ctx) })
 	}
