edge: parts of prompts are taken from the memory account

Cause: a header inside the limit can list 4,000 parts of a prompt, which take several times its size, and are kept while the body does not arrive.

Change: more than 64 parts are reserved in the account, or the request is refused (503, not run).

--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -182,11 +182,12 @@
 		_, err := io.ReadFull(body, whole)
 		return whole, err
 	}
+	earlier := r.held
 	read, ended, err := r.readParts(body, -1, math.MaxInt)
 	if err != nil {
 		return nil, err
 	}
-	before, size := int(r.held), read.size()
+	before, size := int(r.held-earlier), read.size()
 	if !ended || !r.reserve(size) {
 		return nil, errMemoryShort
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -27,6 +27,10 @@
 	memoryRetryAfter = 500 * time.Millisecond
 	// maxDiscardBytes limits how much of a refused body is read and discarded.
 	maxDiscardBytes = 16 << 20
+	// promptPartMemory is the memory of a part of a prompt, in bytes: its entry, its key and what package strike keeps of
+	// it. The parts up to freePromptParts, more than requests in use have, are taken from nothing.
+	promptPartMemory = 128
+	freePromptParts  = 64
 	// defaultTimeout limits a request if neither the caller nor the route sets a timeout.
 	defaultTimeout = 60 * time.Second
 )
@@ -131,9 +135,16 @@
 	if c.Limits.HeaderBytes > 0 && headerBytes(req.http) > c.Limits.HeaderBytes {
 		return code.New(code.HeaderTooLarge, "the header is larger than the configuration allows")
 	}
+	if parts := len(req.Prompt); parts > freePromptParts && !req.kept.reserve(parts*promptPartMemory) {
+		return memoryRefusal()
+	}
 	return n.readBody(req, c.Limits.BodyBytes)
 }
 
+func memoryRefusal() *code.Error {
+	return code.New(code.QueueFull, "too much is kept in memory").WithRetryAfter(memoryRetryAfter)
+}
+
 // requestTimeout is the caller's timeout, limited by that of the route.
 func requestTimeout(req *request) time.Duration {
 	timeout := req.Budget
@@ -170,7 +181,7 @@
 		return nil
 	}
 	if errors.Is(err, errMemoryShort) {
-		return code.New(code.QueueFull, "too much is kept in memory").WithRetryAfter(memoryRetryAfter)
+		return memoryRefusal()
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -167,3 +167,14 @@
 		})
 	}
 }
+
+// partsCrowd clients send a header inside the limit with as many parts of a prompt as fit into it.
+const partsCrowd = 1000
+
+// Guards against lists of prompt parts that take many times the size of their header while the bodies do not arrive.
+func TestHeldPromptParts(t *testing.T) {
+	n := startNode(t, 4100)
+	text := begin + "Content-Length: 1000\r\nPollenlug-Prompt-Prefix: a:1" + strings.Repeat(",a:1", (headerLimit-500)/4) + "\r\n\r\n"
+	crowd(partsCrowd, n.targets["callers"].addr, text, false, func() {})
+	check(t, n.process, edgeMemoryMB<<20, n.targets["callers"])
+}
