callerguard: HTTPS connections are closed at once, and over the limit answered with a result code

Cause: closing a TLS connection sends a last message first, up to 5 s, in the loop that accepts connections; and net/http of the first front end refused headers before the guard did, without a result code.

Change: the connection below TLS is closed; net/http's own limit is twice the configured one. A test starts a node with caller_tls, which had none: 431 without a code before, 431 with 1012 after.

--- a/internal/callerguard/guard.go
+++ b/internal/callerguard/guard.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -128,7 +129,11 @@
 	}
 }
 
+// closeConn closes a connection without waiting for its client. A TLS connection would send a last message first.
 func (g *Guard) closeConn(c net.Conn) {
+	if secured, ok := c.(*tls.Conn); ok {
+		c = secured.NetConn()
+	}
 	if err := c.Close(); err != nil {
 		g.Log.WithError(err).Debug("closing connection failed")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -348,6 +348,7 @@
 		Log:         n.log,
 	})
 	n.callerGuard.Attach(server)
+	server.MaxHeaderBytes *= 2 // the guard refuses before net/http does, with a result code
 	return server
 }
 
--- a/internal/untrusted/process_test.go
+++ b/internal/untrusted/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -98,19 +99,27 @@
 	return len(entries)
 }
 
+// insecure accepts any certificate.
+var insecure = &tls.Config{InsecureSkipVerify: true}
+
 // target is an address of a process with an ordinary request to it.
 type target struct {
 	addr, method, path string
 	header             map[string]string
+	scheme             string // http if empty
 }
 
 // answers sends the ordinary request until it is answered as usual.
 func (a target) answers(t *testing.T) {
 	t.Helper()
-	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: insecure}}
+	scheme := "http"
+	if a.scheme != "" {
+		scheme = a.scheme
+	}
 	last := "no answer"
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		req, err := http.NewRequest(a.method, "http://"+a.addr+a.path, nil)
+		req, err := http.NewRequest(a.method, scheme+"://"+a.addr+a.path, nil)
 		assert.NilError(t, err)
 		req.Host = host
 		for name, value := range a.header {
@@ -173,18 +182,23 @@
 	return n
 }
 
-// startEntryNode runs a node of the first front end without other nodes.
-func startEntryNode(t *testing.T) (*process, target) {
+// startEntryNode runs a node of the first front end without other nodes, with HTTPS towards clients if secure is set.
+func startEntryNode(t *testing.T, secure bool) (*process, target) {
 	t.Helper()
 	dir, addrs := t.TempDir(), ports.Allocate(2)
 	out, err := exec.Command(binary, "keys", "--dir", dir, "--nodes", "n1").CombinedOutput()
 	assert.NilError(t, err, string(out))
 	settings := filepath.Join(dir, "node.json")
-	writeJSON(t, settings, map[string]any{"node": "n1", "region": "north", "failure_domain": "north-1", "node_addr": addrs[0], "caller_addr": addrs[1],
+	values := map[string]any{"node": "n1", "region": "north", "failure_domain": "north-1", "node_addr": addrs[0], "caller_addr": addrs[1],
 		"platform_url": "http://127.0.0.1:1", "edge": map[string]any{"max_header_kib": 64, "header_timeout_ms": 3000},
-		"node_tls": map[string]any{"certificate": filepath.Join(dir, "n1.pem"), "key": filepath.Join(dir, "n1.key"), "authorities": filepath.Join(dir, "authority.pem")}})
-	p := start(t, 0, "serve", "--settings", settings)
+		"node_tls": map[string]any{"certificate": filepath.Join(dir, "n1.pem"), "key": filepath.Join(dir, "n1.key"), "authorities": filepath.Join(dir, "authority.pem")}}
 	a := target{addr: addrs[1], method: http.MethodGet, path: "/healthz"}
+	if secure {
+		values["caller_tls"] = map[string]any{"certificate": filepath.Join(dir, "n1.pem"), "key": filepath.Join(dir, "n1.key")}
+		a.scheme = "https"
+	}
+	writeJSON(t, settings, values)
+	p := start(t, 0, "serve", "--settings", settings)
 	a.answers(t)
 	return p, a
 }
--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -1,10 +1,13 @@
 package untrusted
 
 import (
+	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -111,13 +114,27 @@
 func TestHeadersOverTheLimitOfAnEntryNode(t *testing.T) {
 	for form, text := range headerForms {
 		t.Run(form, func(t *testing.T) {
-			p, a := startEntryNode(t)
+			p, a := startEntryNode(t, false)
 			crowd(headerCrowd, a.addr, text, false, func() {})
 			check(t, p, entryMemory, a)
 		})
 	}
 }
 
+// Guards against HTTPS whose headers are not limited, or that ends the connection without an answer.
+func TestHeaderOverTheLimitOverHTTPS(t *testing.T) {
+	_, a := startEntryNode(t, true)
+	conn, err := tls.Dial("tcp", a.addr, insecure)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, begin+"X-Long: "+strings.Repeat("x", 100<<10))
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, resp.Header.Get("X-Pollenlug-Code"), "1012")
+}
+
 const (
 	fewDescriptors = 500
 	// keptDescriptors are those that a crowd may not take: a fifth, for servers, the store and other nodes.
