callerguard: held bodies do not shut out others, refused headers count until they are freed

Cause: connections whose body does not arrive counted as serving, so a crowd of them held all connections until the route's timeout; and a refused header's memory was given back up to 0.5 s before net/http freed what it had parsed.

Change: at the limit of connections, the one that has waited longest for its body is replaced after those that wait for a header or are idle. Its request was not sent to a server. Refused connections keep their charge until closed.

--- a/internal/callerguard/guard.go
+++ b/internal/callerguard/guard.go
@@ -223,6 +223,8 @@
 func (c *conn) update(now func() time.Time) headerlimit.Reason {
 	phase, cost := headerlimit.Reading, c.scanner.Cost()
 	switch {
+	case c.scanner.Headers == c.ended+1 && c.scanner.MidBody():
+		phase = headerlimit.Receiving
 	case c.isServing():
 		phase = headerlimit.Serving
 	case !c.scanner.MidHeader():
@@ -285,10 +287,7 @@
 		c.guard.closeConn(c)
 		return errRefused
 	}
-	c.guard.mu.Lock()
-	// Nothing is kept of the header from now on. The connection still counts.
-	_, _ = c.guard.table.Charge(c.entry, 0)
-	c.guard.mu.Unlock()
+	// net/http keeps what it has parsed until this returns, so the memory is still taken.
 	c.sendRefusal(refusals[reason])
 	c.linger(buffer)
 	return io.EOF
--- a/pkg/headerlimit/headerlimit_test.go
+++ b/pkg/headerlimit/headerlimit_test.go
@@ -73,6 +73,23 @@
 	}
 }
 
+// Guards against a crowd that sends headers without their bodies and so holds all connections until its requests time
+// out. It fails if such connections count as serving a request.
+func TestHeldBodiesDoNotShutOutOrdinaryClients(t *testing.T) {
+	table := NewTable(10, NewBudget(1<<20, nil))
+	now := time.Unix(0, 0)
+	var crowd []*Entry
+	for range 10 {
+		now = now.Add(time.Millisecond)
+		e, _ := table.Open(nil, now)
+		table.Enter(e, Receiving, now)
+		crowd = append(crowd, e)
+	}
+	table.Enter(crowd[0], Serving, now)
+	opened, replaced := table.Open(nil, now)
+	assert.Assert(t, opened != nil && replaced == crowd[1], "the longest wait for a body is not ended")
+}
+
 // Guards against headers over the budget, and against ending requests, earlier headers or ordinary headers for later
 // large ones. It fails if any but the newest is closed, or if a small header needs the budget.
 func TestNewestLargeHeadersAreClosed(t *testing.T) {
--- a/pkg/headerlimit/table.go
+++ b/pkg/headerlimit/table.go
@@ -65,7 +65,9 @@
 	Reading Phase = iota
 	// Idle connections are between two requests.
 	Idle
-	// Serving connections have a request that has not ended. They are never closed by a Table.
+	// Receiving connections have sent a header whose body is not complete, so that the request was not sent to a server.
+	Receiving
+	// Serving connections have a complete request that has not ended. They are never closed by a Table.
 	Serving
 	closed
 )
@@ -92,16 +94,16 @@
 // Table decides which connections of a listener stay open. Its methods are not safe for concurrent use.
 //
 // Connections: at its limit, a new connection replaces the one that has waited longest for its header, else the one
-// that has been idle longest. Ordinary clients send their header at once, so a crowd replaces its own connections first,
+// that has been idle longest, else the one that has waited longest for its body. Ordinary clients send their header at once, so a crowd replaces its own connections first,
 // and shuts out ordinary clients only if it opens as many connections as the limit in the time that a header takes.
 //
 // Headers: what exceeds the budget closes the connections whose headers were begun last; those that were begun earlier
-// end by their timeout. Connections that serve a request are never closed for another one.
+// end by their timeout. Connections with a complete request are never closed for another one.
 type Table struct {
 	limit  int
 	budget *Budget
 	count  int
-	// waiting has the connections of the phases Reading and Idle, in the order in which they entered them. The lists are
+	// waiting has the connections of the phases before Serving, in the order in which they entered them. The lists are
 	// rings whose first element is a sentinel.
 	waiting [Serving]Entry
 }
