--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -40,8 +40,7 @@
 		maxBody: min(int(bufferedBodyShare*float64(memory)), maxBufferedBody)}
 }
 
-// Take takes n bytes and reports whether the account has them.
-func (m *memoryAccount) Take(n int64) bool {
+func (m *memoryAccount) take(n int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if n > m.available {
@@ -51,7 +50,10 @@
 	return true
 }
 
-// Give gives back n bytes.
+// Take implements headerlimit.Account.
+func (m *memoryAccount) Take(n int64) bool { return m.take(n) }
+
+// Give implements headerlimit.Account.
 func (m *memoryAccount) Give(n int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -66,7 +68,7 @@
 
 // reserve adds n bytes and reports whether the account has them.
 func (r *reservation) reserve(n int) bool {
-	if !r.account.Take(int64(n)) {
+	if !r.account.take(int64(n)) {
 		return false
 	}
 	r.held += int64(n)
@@ -75,7 +77,9 @@
 
 // release gives back n bytes.
 func (r *reservation) release(n int) {
-	r.account.Give(int64(n))
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	r.account.available += int64(n)
 	r.held -= int64(n)
 }
 
