--- a/internal/callerguard/guard.go
+++ b/internal/callerguard/guard.go
@@ -169,9 +169,11 @@
 	limits := g.Limits()
 	g.mu.Lock()
 	late := g.table.Expired(headerlimit.Reading, limits.HeaderTimeout, now)
+	held := g.table.Expired(headerlimit.Receiving, limits.BodyTimeout, now)
 	idle := g.table.Expired(headerlimit.Idle, limits.IdleTimeout, now)
 	g.mu.Unlock()
 	g.closeEntries(headerlimit.HeaderTime, late...)
+	g.closeEntries(headerlimit.BodyTime, held...)
 	g.closeEntries(headerlimit.None, idle...)
 }
 
--- a/internal/callerguard/guard_test.go
+++ b/internal/callerguard/guard_test.go
@@ -25,6 +25,22 @@
 	assert.Equal(t, s.guard.Metrics.Value("connections_refused", "reason", "header_bytes"), int64(2))
 }
 
+// Guards against connections that wait for the rest of a body forever, where no handler limits that time.
+func TestBodiesEndByTheirTimeout(t *testing.T) {
+	s := newGuardedServer(t, headerlimit.Limits{HeaderBytes: testHeaderBytes, BodyTimeout: time.Minute})
+	client, server := net.Pipe()
+	c := s.guard.open(server, time.Now())
+	go func() { _, _ = client.Write([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo")) }()
+	_, err := c.Read(make([]byte, 4096))
+	assert.NilError(t, err)
+	s.guard.closeExpired(time.Now().Add(50 * time.Second))
+	assert.Equal(t, c.entry.Phase(), headerlimit.Receiving)
+	s.guard.closeExpired(time.Now().Add(70 * time.Second))
+	assert.Assert(t, c.entry.IsClosed())
+	_, err = client.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "EOF")
+}
+
 // replayConn is a connection on which the same request arrives with each read.
 type replayConn struct {
 	net.Conn
--- a/internal/edge/callerconns.go
+++ b/internal/edge/callerconns.go
@@ -17,6 +17,9 @@
 	// seconds, is in force, and callerHeaderBytes its size.
 	callerHeaderTimeout = 30 * time.Second
 	callerHeaderBytes   = 64 << 10
+	// otherBodyTimeout limits the time for a body on the addresses other than that of callers, whose handlers read none.
+	// On the address of callers, the request's deadline limits it.
+	otherBodyTimeout = 10 * time.Second
 	// serverHeaderBytes is the limit of net/http, which is fixed at start. It exceeds any configured limit, which package
 	// callerguard enforces.
 	serverHeaderBytes = 16 << 20
@@ -55,16 +58,21 @@
 	callers := headerlimit.NewBudget(int64(callerHeaderShare*float64(n.memory.size)), n.memory)
 	others := headerlimit.NewBudget(int64(otherHeaderShare*float64(n.memory.size)), n.memory)
 	byMemory := int(connectionMemoryShare * float64(n.settings.MemoryBytes) / connectionMemory)
-	guard := func(budget *headerlimit.Budget, share float64) *callerguard.Guard {
+	otherLimits := func() headerlimit.Limits {
+		limits := n.headerLimits()
+		limits.BodyTimeout = otherBodyTimeout
+		return limits
+	}
+	guard := func(limits func() headerlimit.Limits, budget *headerlimit.Budget, share float64) *callerguard.Guard {
 		connections := max(min(int(share*float64(descriptors)), byMemory), minConnections)
-		return callerguard.New(callerguard.Options{Limits: n.headerLimits, Budget: budget, Connections: connections, Metrics: n.metrics, Log: n.log})
+		return callerguard.New(callerguard.Options{Limits: limits, Budget: budget, Connections: connections, Metrics: n.metrics, Log: n.log})
 	}
 	return []endpoint{
-		{n.settings.CallerAddr, http.HandlerFunc(n.serveRequest), guard(callers, callerDescriptorShare)},
-		{n.settings.ReadyAddr, n.readyHandler(), guard(others, otherDescriptorShare)},
-		{n.settings.DirectoryAddr, n.directoryHandler(), guard(others, directoryDescriptorShare)},
-		{n.settings.ControlAddr, n.controlHandler(), guard(others, otherDescriptorShare)},
-		{n.settings.MetricsAddr, n.metrics, guard(others, otherDescriptorShare)},
+		{n.settings.CallerAddr, http.HandlerFunc(n.serveRequest), guard(n.headerLimits, callers, callerDescriptorShare)},
+		{n.settings.ReadyAddr, n.readyHandler(), guard(otherLimits, others, otherDescriptorShare)},
+		{n.settings.DirectoryAddr, n.directoryHandler(), guard(otherLimits, others, directoryDescriptorShare)},
+		{n.settings.ControlAddr, n.controlHandler(), guard(otherLimits, others, otherDescriptorShare)},
+		{n.settings.MetricsAddr, n.metrics, guard(otherLimits, others, otherDescriptorShare)},
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,9 @@
 	callerDescriptorPercent = 50
 	defaultHeaderTimeout    = 5 * time.Second
 	idleTimeout             = 2 * time.Minute
-	bytesPerKiB             = 1024
+	// bodyTimeout limits the time for a body after its header.
+	bodyTimeout = time.Minute
+	bytesPerKiB = 1024
 	// responseExpiryInterval is how often expired responses are deleted.
 	responseExpiryInterval = 10 * time.Second
 	// claimPurgeInterval and claimPurgeRows bound the load that deleting old claims puts on the table service: 0.2
@@ -339,7 +341,7 @@
 	if edge.GetMaxHeaderKib() > 0 {
 		server.MaxHeaderBytes = int(edge.MaxHeaderKib) * bytesPerKiB
 	}
-	limits := headerlimit.Limits{HeaderBytes: server.MaxHeaderBytes, HeaderTimeout: server.ReadHeaderTimeout, IdleTimeout: server.IdleTimeout}
+	limits := headerlimit.Limits{HeaderBytes: server.MaxHeaderBytes, HeaderTimeout: server.ReadHeaderTimeout, BodyTimeout: bodyTimeout, IdleTimeout: server.IdleTimeout}
 	n.callerGuard = callerguard.New(callerguard.Options{
 		Limits:      func() headerlimit.Limits { return limits },
 		Budget:      headerlimit.NewBudget(headerMemory, nil),
--- a/pkg/headerlimit/scanner.go
+++ b/pkg/headerlimit/scanner.go
@@ -35,8 +35,9 @@
 type Limits struct {
 	// HeaderBytes is the configured size of a header.
 	HeaderBytes int
-	// HeaderTimeout is the time for a header, IdleTimeout the time between two requests; 0 means no limit.
-	HeaderTimeout, IdleTimeout time.Duration
+	// HeaderTimeout is the time for a header, BodyTimeout that for a body after its header and IdleTimeout the time between
+	// two requests; 0 means no limit.
+	HeaderTimeout, BodyTimeout, IdleTimeout time.Duration
 }
 
 func (l Limits) maxBytes() int { return l.HeaderBytes + framingBytes }
@@ -52,6 +53,7 @@
 	HeaderLines
 	EmptyLines
 	HeaderTime
+	BodyTime
 	Memory
 	Connections
 	// Framing means that the bytes are no sequence of requests as the server understands them.
@@ -59,7 +61,7 @@
 	reasonCount
 )
 
-var reasonNames = [reasonCount]string{"none", "header_bytes", "header_lines", "empty_lines", "header_time", "memory", "connections", "framing"}
+var reasonNames = [reasonCount]string{"none", "header_bytes", "header_lines", "empty_lines", "header_time", "body_time", "memory", "connections", "framing"}
 
 // String implements fmt.Stringer.
 func (r Reason) String() string { return reasonNames[r] }
