--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// memoryShareKept is the fraction of the memory limit that a node keeps for others at most: bodies of requests and
-	// what it has read of responses and not passed on. The garbage collector needs up to as much again.
+	// memoryShareKept is the fraction of the memory limit that a node keeps for others at most: headers and bodies of
+	// requests and what it has read of responses and not passed on. The garbage collector needs up to as much again.
 	memoryShareKept = 0.17
 	// bufferedBodyShare is the fraction of the memory limit of which one response may be kept. maxBufferedBody limits it.
 	bufferedBodyShare = 1.0 / 512
@@ -26,6 +26,8 @@
 type memoryAccount struct {
 	// maxBody is how much of one response is kept.
 	maxBody int
+	// size is the whole account.
+	size int64
 
 	mu        sync.Mutex
 	available int64
@@ -33,7 +35,8 @@
 
 // newMemoryAccount returns the account of a machine with the given memory in bytes.
 func newMemoryAccount(memory int64) *memoryAccount {
-	return &memoryAccount{available: int64(memoryShareKept * float64(memory)),
+	kept := int64(memoryShareKept * float64(memory))
+	return &memoryAccount{size: kept, available: kept,
 		maxBody: min(int(bufferedBodyShare*float64(memory)), maxBufferedBody)}
 }
 
@@ -47,6 +50,16 @@
 	return true
 }
 
+// Take implements headerlimit.Account.
+func (m *memoryAccount) Take(n int64) bool { return m.take(n) }
+
+// Give implements headerlimit.Account.
+func (m *memoryAccount) Give(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.available += n
+}
+
 // reservation is the part of the account that one request holds. It is used by one goroutine at a time.
 type reservation struct {
 	account *memoryAccount
@@ -173,11 +186,12 @@
 		_, err := io.ReadFull(body, whole)
 		return whole, err
 	}
+	earlier := r.held
 	read, ended, err := r.readParts(body, -1, math.MaxInt)
 	if err != nil {
 		return nil, err
 	}
-	before, size := int(r.held), read.size()
+	before, size := int(r.held-earlier), read.size()
 	if !ended || !r.reserve(size) {
 		return nil, errMemoryShort
 	}
