--- /dev/null
+++ b/pkg/admission/gate.go
@@ -0,0 +1,326 @@
+// Package admission decides, for one service on one node, whether a request is sent now, waits a short time or is
+// rejected, and when a rejected one may return.
+//
+// Load pattern: bursts of the least urgent class, or one workspace within its limits at several times its usual load,
+// arrive at servers that several classes share. A bound on the expected time of each class alone lets the class with the
+// longest target fill the servers' queues beyond the target of the most urgent one. A Gate therefore bounds the wait that
+// a request may find at its server by the targets of all classes that are at least as urgent, in steps: requests beyond
+// the share of their workspace are shed first, then the least urgent ones.
+//
+// The Gate holds no requests and no clock. It assumes that servers start requests in about the order of arrival; the wait
+// is what the node knows from its own requests and the reports of other nodes.
+package admission
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// Priorities is the number of priorities that are told apart; 0 is the most urgent. Higher ones count as the last.
+	Priorities = 4
+
+	// rateTime is the time constant of measured rates. An idle share is returned within it.
+	rateTime = time.Second
+	// refreshInterval is how often shares are computed.
+	refreshInterval = 100 * time.Millisecond
+	// classExpiry is how long a class bounds the wait of others after its last request on this node. A node of a large
+	// deployment receives about one request of the rarest class per second.
+	classExpiry = 10 * time.Second
+	// slackWeight is the weight of a new sample in the moving averages of a class's slack and of the wait.
+	slackWeight = 0.1
+	waitWeight  = 0.2
+	// minSlack keeps the bounds of a class positive whose requests take longer than its target.
+	minSlack = 20 * time.Millisecond
+	// minQueued is the wait up to which nothing counts as queued at a server: no request is shed then.
+	minQueued = 20 * time.Millisecond
+
+	// The bounds of the wait, as fractions of the slack of the tightest class that is at least as urgent. urgentBound is
+	// that of the most urgent class within its share, the others are lower by boundStep for each class in between. The
+	// bounds beyond the share are below all of those within it.
+	urgentBound   = 0.85
+	lessUrgent    = 0.6
+	boundStep     = 0.1
+	overBound     = 0.3
+	overBoundStep = 0.05
+	// boundRamp is the half width of the range around a bound in which a part of the requests passes, as a fraction of
+	// the slack. Nodes with old views would otherwise all stop and all start at the same time.
+	boundRamp = 0.1
+
+	// lateFactor is the longest expected time of a request with the most urgent priority as a multiple of its target; it
+	// is lower by lateStep for each step of priority, down to minLateFactor. A late response has about a tenth of its
+	// value, so that a margin of 20% covers the error of the estimate.
+	lateFactor    = 1.2
+	lateStep      = 0.1
+	minLateFactor = 0.9
+
+	// maxFlows limits the workspaces that are told apart; the others share one flow.
+	maxFlows = 256
+)
+
+// Request describes a request for a Gate.
+type Request struct {
+	Workspace string
+	Priority  int
+	// Cost is the predicted cost in server-seconds.
+	Cost float64
+	// Wait is the expected time until the server starts on the request, Own the time it then takes itself until its first
+	// event or response.
+	Wait, Own time.Duration
+	// Elapsed is the time since the request arrived, Target its latency target from then; 0 if it has none.
+	Elapsed, Target time.Duration
+	// Left is the time until its deadline.
+	Left time.Duration
+	// Ahead is the cost of the requests waiting on this node that precede it.
+	Ahead float64
+	// Key identifies the content of the request, by which its return is recognized.
+	Key uint32
+	// Again is set when the request has waited on this node and is decided once more.
+	Again bool
+}
+
+// Verdict is what happens to a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Admit Verdict = iota
+	// Hold means that the request waits on this node for at most Decision.Hold.
+	Hold
+	Reject
+)
+
+// Reason is why a request is not admitted.
+type Reason uint8
+
+// The reasons. Their texts are labels of metrics and a field of log lines.
+const (
+	None Reason = iota
+	// OverShare means that the workspace uses more than its share while others need theirs.
+	OverShare
+	// Overload means that the capacity goes to more urgent requests or to those before it.
+	Overload
+	// Late means that the response is expected after the deadline or far beyond the target.
+	Late
+	// SlowStart means that the node admits at the rate of its part of the servers.
+	SlowStart
+)
+
+var reasonNames = [...]string{None: "none", OverShare: "share", Overload: "overload", Late: "late", SlowStart: "slow_start"}
+
+// String returns the label of a reason.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Decision is the result of Gate.Decide.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+	// Hold is the longest time to wait.
+	Hold time.Duration
+	// RetryAfter is when a rejected request may return; 0 if no capacity could be reserved for its return.
+	RetryAfter time.Duration
+}
+
+// Gate is the admission state of one service on one node. It is safe for concurrent use.
+type Gate struct {
+	mu          sync.Mutex
+	flows       map[string]*flow
+	weights     map[string]float64
+	peers       map[string]*peerReport
+	classes     [Priorities]class
+	credits     [2 * Priorities]float64 // fractions of requests that have passed on the ramp of a bound
+	admitted    rate                    // cost admitted by this node
+	peersCost   float64                 // cost per second admitted by the other nodes
+	wait        float64                 // moving average of the wait in seconds
+	refreshedAt time.Time
+	fresh       int // other nodes whose reports are recent
+	returns     returns
+	start       slowStart
+	invalid     uint64
+}
+
+// class is what a Gate knows of the requests of one priority.
+type class struct {
+	seenAt time.Time
+	// slack is the moving average of the target less the request's own time, in seconds; 0 without a target.
+	slack float64
+}
+
+// New returns the gate of a service on a node that starts at now.
+func New(now time.Time) *Gate {
+	g := &Gate{flows: map[string]*flow{}, weights: map[string]float64{}, peers: map[string]*peerReport{}, refreshedAt: now}
+	g.returns.booked = map[uint32]booking{}
+	g.start.begin(now)
+	return g
+}
+
+// Invalid returns the number of requests with values out of range.
+func (g *Gate) Invalid() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.invalid
+}
+
+// Decide decides on a request. A request that is held is decided again when the load has changed.
+func (g *Gate) Decide(r Request, now time.Time) Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.correct(&r)
+	f := g.flow(r.Workspace)
+	if !r.Again {
+		f.offered[r.Priority].add(r.Cost, now)
+		g.observe(&r, now)
+	}
+	g.refresh(now)
+	if r.Wait+r.Own > r.Left {
+		return g.reject(&r, f, Late, now)
+	}
+	reason := g.check(&r, f, now)
+	if reason == None && !g.start.take(r.Cost, g.fresh, now) {
+		reason = SlowStart
+	}
+	if reason == None {
+		g.admitted.add(r.Cost, now)
+		return Decision{}
+	}
+	if hold := g.holdTime(&r, reason, now); hold > 0 {
+		return Decision{Verdict: Hold, Reason: reason, Hold: hold}
+	}
+	return g.reject(&r, f, reason, now)
+}
+
+// correct replaces values that are out of range.
+func (g *Gate) correct(r *Request) {
+	valid := *r
+	valid.Priority = min(max(r.Priority, 0), Priorities-1)
+	if !(r.Cost >= 0 && r.Cost <= maxCost) { // also for values that are no number
+		valid.Cost = min(max(r.Cost, 0), maxCost)
+		if math.IsNaN(r.Cost) {
+			valid.Cost = 0
+		}
+	}
+	valid.Wait, valid.Own = max(r.Wait, 0), max(r.Own, 0)
+	valid.Elapsed, valid.Target = max(r.Elapsed, 0), max(r.Target, 0)
+	if valid != *r {
+		g.invalid++
+		*r = valid
+	}
+}
+
+// maxCost is the highest cost of a request in server-seconds.
+const maxCost = 60.0
+
+// observe updates the class of a request and the average wait.
+func (g *Gate) observe(r *Request, now time.Time) {
+	c := &g.classes[r.Priority]
+	if r.Target > 0 {
+		slack := max(r.Target-r.Own, minSlack).Seconds()
+		if c.slack == 0 || now.Sub(c.seenAt) > classExpiry {
+			c.slack = slack
+		}
+		c.slack += slackWeight * (slack - c.slack)
+	}
+	c.seenAt = now
+	g.wait += waitWeight * (r.Wait.Seconds() - g.wait)
+}
+
+// tightest returns the slack in seconds of the tightest class that is at least as urgent as p, and how many classes are
+// more urgent.
+func (g *Gate) tightest(p int, now time.Time) (slack float64, rank int) {
+	slack = math.Inf(1)
+	for q := 0; q <= p; q++ {
+		c := &g.classes[q]
+		if now.Sub(c.seenAt) > classExpiry {
+			continue
+		}
+		if c.slack > 0 {
+			slack = min(slack, c.slack)
+		}
+		if q < p {
+			rank++
+		}
+	}
+	return slack, rank
+}
+
+// check returns why a request cannot be sent now, or None.
+func (g *Gate) check(r *Request, f *flow, now time.Time) Reason {
+	inShare, least := true, false
+	if !r.Again {
+		inShare, least = f.take(r.Priority)
+	}
+	if r.Wait <= minQueued {
+		return None
+	}
+	if r.Target > 0 && r.Elapsed+r.Wait+r.Own > lateBound(r.Target, r.Priority) {
+		return Late
+	}
+	if g.returns.due(r.Key, now) {
+		f.charge(r.Priority)
+		inShare, least = true, true
+	}
+	slack, rank := g.tightest(r.Priority, now)
+	if math.IsInf(slack, 1) {
+		return None
+	}
+	bound, level := bound(rank, inShare), rank
+	if least {
+		bound, level = urgentBound, 0
+	}
+	if !inShare {
+		level += Priorities
+	}
+	if !g.passes(level, r.Wait.Seconds()/slack, bound) {
+		if !inShare && f.over {
+			return OverShare
+		}
+		return Overload
+	}
+	// A request passes those that wait here only while the load is low.
+	if r.Ahead > 0 && !r.Again && !least && r.Wait.Seconds() > overBound*slack {
+		return Overload
+	}
+	return None
+}
+
+// bound returns the bound of the wait as a fraction of the slack.
+func bound(rank int, inShare bool) float64 {
+	switch {
+	case !inShare:
+		return overBound - overBoundStep*float64(rank)
+	case rank == 0:
+		return urgentBound
+	}
+	return lessUrgent - boundStep*float64(rank-1)
+}
+
+// passes reports whether a request with the given ratio of wait to slack passes a bound.
+func (g *Gate) passes(level int, ratio, bound float64) bool {
+	part := (bound + boundRamp - ratio) / (2 * boundRamp)
+	if part >= 1 || part <= 0 {
+		return part >= 1
+	}
+	g.credits[level] += part
+	if g.credits[level] < 1 {
+		return false
+	}
+	g.credits[level]--
+	return true
+}
+
+func lateBound(target time.Duration, priority int) time.Duration {
+	return time.Duration(float64(target) * max(minLateFactor, lateFactor-lateStep*float64(priority)))
+}
+
+// reject returns the rejection of a request, with the time of its return if there is capacity for it.
+func (g *Gate) reject(r *Request, f *flow, reason Reason, now time.Time) Decision {
+	d := Decision{Verdict: Reject, Reason: reason}
+	if reason == OverShare {
+		return d // its later requests already use up the share
+	}
+	_, rank := g.tightest(r.Priority, now)
+	own := max(g.admitted.perSecond(now), g.start.rate())
+	d.RetryAfter = g.returns.book(r.Key, rank, r.Cost, own, r.Left, now)
+	return d
+}
--- /dev/null
+++ b/pkg/admission/shares.go
@@ -0,0 +1,265 @@
+package admission
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// minClassShare is the part of a workspace's share that each of its classes has whatever the more urgent ones use.
+	minClassShare = 0.02
+	// reportExpiry is how long the report of another node is counted. Reports of large deployments are up to 1.2 s old.
+	reportExpiry = 3 * time.Second
+	// The capacity is the admitted cost per second, corrected by up to maxTrim so that the wait approaches referenceWait
+	// as a fraction of the tightest slack.
+	referenceWait = 0.5
+	maxTrim       = 0.25
+	// pressureWait is the fraction of the tightest slack below which the shares do not limit anyone.
+	pressureWait = 0.2
+	// overFactor marks a workspace as over its share if a smaller part of its demand than this, relative to that of all
+	// demand, is within it. Smaller differences come from the random arrival of its requests.
+	overFactor = 0.8
+	// maxCredit limits the requests that a class may have ahead of its fraction.
+	maxCredit = 2
+)
+
+// rate is an exponentially decaying sum.
+type rate struct {
+	sum float64
+	at  time.Time
+}
+
+func (r *rate) add(v float64, now time.Time) {
+	r.decay(now)
+	r.sum += v
+}
+
+func (r *rate) decay(now time.Time) {
+	if elapsed := now.Sub(r.at); elapsed > 0 {
+		if r.sum != 0 {
+			r.sum *= math.Exp(-float64(elapsed) / float64(rateTime))
+		}
+		r.at = now
+	}
+}
+
+func (r *rate) perSecond(now time.Time) float64 {
+	r.decay(now)
+	return r.sum / rateTime.Seconds()
+}
+
+// flow is the state of one workspace.
+type flow struct {
+	name    string
+	weight  float64
+	offered [Priorities]rate
+	// demand is the cost offered per second on all nodes, by priority and in total.
+	demand [Priorities]float64
+	total  float64
+	// within and least are the parts of the requests of a class that are within the share, and within its minimum part.
+	within, least             [Priorities]float64
+	withinCredit, leastCredit [Priorities]float64
+	over                      bool
+}
+
+// flow returns the flow of a workspace.
+func (g *Gate) flow(workspace string) *flow {
+	if f := g.flows[workspace]; f != nil {
+		return f
+	}
+	if len(g.flows) >= maxFlows {
+		workspace = ""
+		if f := g.flows[workspace]; f != nil {
+			return f
+		}
+	}
+	f := &flow{name: workspace, weight: g.weight(workspace)}
+	f.unlimited()
+	g.flows[workspace] = f
+	return f
+}
+
+func (g *Gate) weight(workspace string) float64 {
+	if w := g.weights[workspace]; w > 0 && !math.IsInf(w, 1) {
+		return w
+	}
+	return 1
+}
+
+// SetWeights sets the weights of the workspaces; others have weight 1.
+func (g *Gate) SetWeights(weights map[string]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.weights = weights
+	for name, f := range g.flows {
+		f.weight = g.weight(name)
+	}
+}
+
+// take reports whether the next request of a class is within the share, and within its minimum part.
+func (f *flow) take(p int) (inShare, least bool) {
+	return spend(&f.withinCredit[p], f.within[p]), spend(&f.leastCredit[p], f.least[p])
+}
+
+// charge takes a request that returns from the share.
+func (f *flow) charge(p int) { f.withinCredit[p] = max(f.withinCredit[p]-1, -maxCredit) }
+
+func spend(credit *float64, part float64) bool {
+	if part >= 1 {
+		return true
+	}
+	*credit = min(*credit+part, maxCredit)
+	if *credit < 1 {
+		return false
+	}
+	*credit--
+	return true
+}
+
+func (f *flow) unlimited() {
+	for p := range Priorities {
+		f.within[p], f.least[p] = 1, 0
+	}
+	f.over = false
+}
+
+// refresh computes the shares from the demand of all nodes.
+func (g *Gate) refresh(now time.Time) {
+	if now.Sub(g.refreshedAt) < refreshInterval {
+		return
+	}
+	g.refreshedAt = now
+	g.returns.expire(now)
+	g.sumDemand(now)
+	slack, _ := g.tightest(Priorities-1, now)
+	if math.IsInf(slack, 1) || g.wait < pressureWait*slack {
+		for _, f := range g.flows {
+			f.unlimited()
+		}
+		return
+	}
+	trim := (referenceWait - g.wait/slack) / referenceWait
+	trim = 1 + maxTrim*min(max(trim, -1), 1)
+	g.divide(trim * (g.admitted.perSecond(now) + g.peersCost))
+}
+
+// sumDemand adds up the demand of all nodes and drops expired reports and idle workspaces.
+func (g *Gate) sumDemand(now time.Time) {
+	for name, f := range g.flows {
+		f.total = 0
+		for p := range Priorities {
+			f.demand[p] = f.offered[p].perSecond(now)
+			f.total += f.demand[p]
+		}
+		if f.total < negligible {
+			delete(g.flows, name)
+		}
+	}
+	g.peersCost = 0
+	g.fresh = 0
+	for node, report := range g.peers {
+		if now.Sub(report.at) > reportExpiry {
+			delete(g.peers, node)
+			continue
+		}
+		g.fresh++
+		g.peersCost += report.Admitted
+		for i := range report.Offers {
+			f := g.flow(report.Offers[i].Workspace)
+			for p, v := range report.Offers[i].PerSecond {
+				f.demand[p] += v
+				f.total += v
+			}
+		}
+	}
+}
+
+// negligible is the demand in server-seconds per second below which a workspace counts as idle.
+const negligible = 1e-6
+
+// divide divides the capacity between the workspaces, max-min by demand over weight, and each share between the classes
+// of its workspace, the most urgent first.
+func (g *Gate) divide(capacity float64) {
+	flows := make([]*flow, 0, len(g.flows))
+	weights, demand := 0.0, 0.0
+	for _, f := range g.flows {
+		flows = append(flows, f)
+		weights += f.weight
+		demand += f.total
+	}
+	sort.Slice(flows, func(i, j int) bool { return flows[i].total/flows[i].weight < flows[j].total/flows[j].weight })
+	served := min(capacity/max(demand, negligible), 1)
+	for _, f := range flows {
+		share := min(f.total, capacity*f.weight/weights)
+		capacity -= share
+		weights -= f.weight
+		f.over = share < overFactor*served*f.total
+		f.fill(share)
+	}
+}
+
+// fill divides a share between the classes of its workspace.
+func (f *flow) fill(share float64) {
+	left := share
+	for p, d := range f.demand {
+		if d <= 0 {
+			f.within[p], f.least[p] = 1, 0
+			continue
+		}
+		f.within[p] = min(left/d, 1)
+		f.least[p] = min(minClassShare*share/d, 1)
+		left = max(left-d, 0)
+	}
+}
+
+// Report is what a node tells the others about a service.
+type Report struct {
+	// Admitted is the cost that the node admits, in server-seconds per second.
+	Admitted float64
+	Offers   []Offer
+}
+
+// Offer is the cost that arrives at a node from one workspace, in server-seconds per second by priority.
+type Offer struct {
+	Workspace string
+	PerSecond [Priorities]float64
+}
+
+type peerReport struct {
+	Report
+	at time.Time
+}
+
+// SetPeer stores the report of another node.
+func (g *Gate) SetPeer(node string, report Report, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers[node] = &peerReport{Report: report, at: now}
+}
+
+// RemovePeer drops the report of a node that has left.
+func (g *Gate) RemovePeer(node string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.peers, node)
+}
+
+// Export returns this node's report.
+func (g *Gate) Export(now time.Time) Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	report := Report{Admitted: g.admitted.perSecond(now)}
+	for name, f := range g.flows {
+		o := Offer{Workspace: name}
+		sum := 0.0
+		for p := range Priorities {
+			o.PerSecond[p] = f.offered[p].perSecond(now)
+			sum += o.PerSecond[p]
+		}
+		if sum >= negligible {
+			report.Offers = append(report.Offers, o)
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/pkg/admission/start.go
@@ -0,0 +1,75 @@
+package admission
+
+import "time"
+
+const (
+	// slowStartTime is how long after its start, or after servers have returned, a node admits at the rate of its part of
+	// the servers. Other nodes have reported what they admit by then.
+	slowStartTime = 3 * time.Second
+	// startBurst is the time for which this rate is admitted at once.
+	startBurst = 250 * time.Millisecond
+	// returnedFactor is the growth of the number of servers that counts as their return.
+	returnedFactor = 1.5
+)
+
+// slowStart limits what a node admits while it does not know what the others admit: after its start, after the servers
+// have returned, and while fewer than half of the other nodes report.
+//
+// Load pattern: after the loss of all nodes or servers, all clients return at once. Each node sees idle servers, and
+// together they would fill the servers' queues beyond the time limits of the requests. Each of N nodes admits at most the
+// Nth part of the work that the servers can do.
+type slowStart struct {
+	until          time.Time
+	servers, nodes int
+	tokens         float64 // server-seconds
+	at             time.Time
+}
+
+func (s *slowStart) begin(now time.Time) { s.until = now.Add(slowStartTime) }
+
+// rate returns the part of this node in the servers, in server-seconds per second; 0 while it is not known.
+func (s *slowStart) rate() float64 {
+	if s.servers == 0 || s.nodes == 0 {
+		return 0
+	}
+	return float64(s.servers) / float64(s.nodes)
+}
+
+// take takes the cost of a request. fresh is the number of other nodes whose reports are recent.
+func (s *slowStart) take(cost float64, fresh int, now time.Time) bool {
+	if now.After(s.until) && 2*fresh >= s.nodes-1 || s.nodes <= 1 {
+		return true
+	}
+	rate := s.rate()
+	if rate == 0 {
+		return true
+	}
+	if s.at.IsZero() {
+		s.tokens = rate * startBurst.Seconds()
+	} else if elapsed := now.Sub(s.at); elapsed > 0 {
+		s.tokens = min(s.tokens+rate*elapsed.Seconds(), rate*startBurst.Seconds())
+	}
+	s.at = now
+	if s.tokens <= 0 {
+		return false
+	}
+	s.tokens -= cost // a request larger than the burst passes and is paid for afterwards
+	return true
+}
+
+// SetSize sets the number of ready servers and of the nodes that send to them.
+func (g *Gate) SetSize(servers, nodes int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if float64(servers) > returnedFactor*float64(g.start.servers) && g.start.servers > 0 || servers > 0 && g.start.servers == 0 {
+		g.start.begin(now)
+	}
+	g.start.servers, g.start.nodes = max(servers, 0), max(nodes, 0)
+}
+
+// Restart starts slowly again, for example after the process was paused and its views are old.
+func (g *Gate) Restart(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.start.begin(now)
+}
