--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -22,7 +22,7 @@
 	Priorities = 4
 
 	// rateTime is the time constant of measured rates. An idle share is returned within it.
-	rateTime = time.Second
+	rateTime = 700 * time.Millisecond
 	// refreshInterval is how often shares are computed.
 	refreshInterval = 100 * time.Millisecond
 	// classExpiry is how long a class bounds the wait of others after its last request on this node. A node of a large
@@ -47,6 +47,9 @@
 	// boundRamp is the half width of the range around a bound in which a part of the requests passes, as a fraction of
 	// the slack. Nodes with old views would otherwise all stop and all start at the same time.
 	boundRamp = 0.1
+	// rampPerAge widens the range for each second of the age of views; lentPerAge lowers the part that is lent.
+	rampPerAge = 1.0
+	lentPerAge = 8.0
 
 	// lateFactor is the longest expected time of a request with the most urgent priority as a multiple of its target; it
 	// is lower by lateStep for each step of priority, down to minLateFactor. A late response has about a tenth of its
@@ -129,10 +132,14 @@
 	weights     map[string]float64
 	peers       map[string]*peerReport
 	classes     [Priorities]class
-	credits     [2 * Priorities]float64 // fractions of requests that have passed on the ramp of a bound
-	admitted    rate                    // cost admitted by this node
-	peersCost   float64                 // cost per second admitted by the other nodes
-	wait        float64                 // moving average of the wait in seconds
+	admitted    rate    // cost admitted by this node
+	served      rate    // cost of the requests that servers have answered
+	peersServed float64 // cost per second answered to the other nodes
+	demand      float64 // cost per second that arrives at all nodes
+	capacity    capacity
+	drift       drift
+	viewAge     time.Duration // how old reports of other nodes are
+	wait        float64       // moving average of the wait in seconds
 	refreshedAt time.Time
 	fresh       int // other nodes whose reports are recent
 	returns     returns
@@ -173,10 +180,11 @@
 		g.observe(&r, now)
 	}
 	g.refresh(now)
+	r.Wait = g.waitNow(r.Wait)
 	if r.Wait+r.Own > r.Left {
 		return g.reject(&r, f, Late, now)
 	}
-	reason := g.check(&r, f, now)
+	reason, inShare := g.check(&r, f, now)
 	if reason == None && !g.start.take(r.Cost, g.fresh, now) {
 		reason = SlowStart
 	}
@@ -184,8 +192,10 @@
 		g.admitted.add(r.Cost, now)
 		return Decision{}
 	}
-	if hold := g.holdTime(&r, reason, now); hold > 0 {
-		return Decision{Verdict: Hold, Reason: reason, Hold: hold}
+	if inShare {
+		if hold := g.holdTime(&r, reason, now); hold > 0 {
+			return Decision{Verdict: Hold, Reason: reason, Hold: hold}
+		}
 	}
 	return g.reject(&r, f, reason, now)
 }
@@ -244,44 +254,45 @@
 	return slack, rank
 }
 
-// check returns why a request cannot be sent now, or None.
-func (g *Gate) check(r *Request, f *flow, now time.Time) Reason {
+// check returns why a request cannot be sent now, or None, and whether it is within the share of its workspace.
+func (g *Gate) check(r *Request, f *flow, now time.Time) (reason Reason, inShare bool) {
 	inShare, least := true, false
 	if !r.Again {
-		inShare, least = f.take(r.Priority)
+		inShare, least = f.take(r, now)
 	}
-	if r.Wait <= minQueued {
-		return None
+	if r.Wait <= minQueued && !g.capacity.pressed {
+		return None, inShare
 	}
 	if r.Target > 0 && r.Elapsed+r.Wait+r.Own > lateBound(r.Target, r.Priority) {
-		return Late
+		return Late, inShare
 	}
 	if g.returns.due(r.Key, now) {
-		f.charge(r.Priority)
+		f.charge(r)
 		inShare, least = true, true
 	}
 	slack, rank := g.tightest(r.Priority, now)
 	if math.IsInf(slack, 1) {
-		return None
+		return None, inShare
 	}
-	bound, level := bound(rank, inShare), rank
+	bound := bound(rank, inShare)
 	if least {
-		bound, level = urgentBound, 0
+		bound = urgentBound
 	}
+	part := g.part(r.Wait.Seconds()/slack, bound)
 	if !inShare {
-		level += Priorities
+		part *= g.lent()
 	}
-	if !g.passes(level, r.Wait.Seconds()/slack, bound) {
+	if chance(r, now, boundChance) >= part {
 		if !inShare && f.over {
-			return OverShare
+			return OverShare, inShare
 		}
-		return Overload
+		return Overload, inShare
 	}
 	// A request passes those that wait here only while the load is low.
 	if r.Ahead > 0 && !r.Again && !least && r.Wait.Seconds() > overBound*slack {
-		return Overload
+		return Overload, inShare
 	}
-	return None
+	return None, inShare
 }
 
 // bound returns the bound of the wait as a fraction of the slack.
@@ -295,18 +306,19 @@
 	return lessUrgent - boundStep*float64(rank-1)
 }
 
-// passes reports whether a request with the given ratio of wait to slack passes a bound.
-func (g *Gate) passes(level int, ratio, bound float64) bool {
-	part := (bound + boundRamp - ratio) / (2 * boundRamp)
-	if part >= 1 || part <= 0 {
-		return part >= 1
-	}
-	g.credits[level] += part
-	if g.credits[level] < 1 {
-		return false
+// part returns the part of the requests that pass a bound at the given ratio of wait to slack.
+func (g *Gate) part(ratio, bound float64) float64 {
+	ramp := boundRamp * (1 + rampPerAge*g.viewAge.Seconds())
+	return min(max((bound+ramp-ratio)/(2*ramp), 0), 1)
+}
+
+// lent returns the part of the requests beyond their workspace's share that pass while the wait is low. With old views
+// all of them would be sent for as long as it takes to see their effect.
+func (g *Gate) lent() float64 {
+	if !g.capacity.pressed {
+		return 1
 	}
-	g.credits[level]--
-	return true
+	return 1 / (1 + lentPerAge*g.viewAge.Seconds())
 }
 
 func lateBound(target time.Duration, priority int) time.Duration {
--- a/pkg/admission/replay_test.go
+++ b/pkg/admission/replay_test.go
@@ -62,6 +62,9 @@
 	outstanding []float64 // at past steps, summed over all nodes
 	result      replayResult
 	keys        uint32
+	trace       func()
+	sentCost    [Priorities]float64
+	reasons     map[string]int
 }
 
 type replayNode struct {
@@ -127,6 +130,9 @@
 		n := &replayNode{gate: New(r.now), held: map[*Waiter]*replayCall{}}
 		n.line.MaxBytes = 1 << 20
 		n.gate.SetSize(replayServers, nodes, r.now)
+		if nodes > 1 {
+			n.gate.SetViewAge(r.delay)
+		}
 		r.nodes = append(r.nodes, n)
 	}
 	for step := 0; r.elapsed() < until; step++ {
@@ -141,6 +147,9 @@
 		if r.elapsed() >= r.from && r.elapsed() < r.to && r.busyUntil.After(r.now) {
 			r.result.worked += replayServers * min(replayStep, r.busyUntil.Sub(r.now)).Seconds()
 		}
+		if r.trace != nil {
+			r.trace()
+		}
 		r.now = r.now.Add(replayStep)
 	}
 	return &r.result
@@ -229,6 +238,9 @@
 		r.send(c)
 		return
 	}
+	if r.trace != nil {
+		r.reasons[strconv.Itoa(c.class)+d.Reason.String()]++
+	}
 	r.rejected(c, d.RetryAfter)
 }
 
@@ -249,6 +261,7 @@
 }
 
 func (r *replay) send(c *replayCall) {
+	r.sentCost[c.class] += c.cost
 	if r.busyUntil.Before(r.now) {
 		r.busyUntil = r.now
 	}
@@ -260,7 +273,10 @@
 	done := begin.Add(time.Duration(c.cost * float64(time.Second)))
 	n := c.node
 	n.outstanding += c.cost
-	r.after(begin.Sub(r.now), func() { n.outstanding = max(n.outstanding-c.cost, 0) })
+	r.after(begin.Sub(r.now), func() {
+		n.outstanding = max(n.outstanding-c.cost, 0)
+		n.gate.Served(c.cost, r.now)
+	})
 	class := replayClasses[c.class]
 	if c.promised && r.counted(c) {
 		r.result.promisedServed++
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -11,17 +11,11 @@
 	minClassShare = 0.02
 	// reportExpiry is how long the report of another node is counted. Reports of large deployments are up to 1.2 s old.
 	reportExpiry = 3 * time.Second
-	// The capacity is the admitted cost per second, corrected by up to maxTrim so that the wait approaches referenceWait
-	// as a fraction of the tightest slack.
-	referenceWait = 0.5
-	maxTrim       = 0.25
-	// pressureWait is the fraction of the tightest slack below which the shares do not limit anyone.
-	pressureWait = 0.2
 	// overFactor marks a workspace as over its share if a smaller part of its demand than this, relative to that of all
 	// demand, is within it. Smaller differences come from the random arrival of its requests.
 	overFactor = 0.8
-	// maxCredit limits the requests that a class may have ahead of its fraction.
-	maxCredit = 2
+	// maxOwed limits what returned requests take from the share later, in server-seconds.
+	maxOwed = 1.0
 )
 
 // rate is an exponentially decaying sum.
@@ -58,9 +52,9 @@
 	demand [Priorities]float64
 	total  float64
 	// within and least are the parts of the requests of a class that are within the share, and within its minimum part.
-	within, least             [Priorities]float64
-	withinCredit, leastCredit [Priorities]float64
-	over                      bool
+	within, least [Priorities]float64
+	owed          float64 // cost of returned requests not yet taken from the share
+	over          bool
 }
 
 // flow returns the flow of a workspace.
@@ -97,24 +91,37 @@
 	}
 }
 
-// take reports whether the next request of a class is within the share, and within its minimum part.
-func (f *flow) take(p int) (inShare, least bool) {
-	return spend(&f.withinCredit[p], f.within[p]), spend(&f.leastCredit[p], f.least[p])
+// take reports whether a request is within the share, and within its minimum part.
+func (f *flow) take(r *Request, now time.Time) (inShare, least bool) {
+	inShare = chance(r, now, shareChance) < f.within[r.Priority]
+	least = chance(r, now, leastChance) < f.least[r.Priority]
+	if inShare && f.owed >= r.Cost && f.within[r.Priority] < 1 {
+		f.owed -= r.Cost
+		return false, least
+	}
+	return inShare, least
 }
 
-// charge takes a request that returns from the share.
-func (f *flow) charge(p int) { f.withinCredit[p] = max(f.withinCredit[p]-1, -maxCredit) }
+// charge takes a request that returns from the share: a later one of the same workspace waits or is rejected for it.
+func (f *flow) charge(r *Request) { f.owed = min(f.owed+r.Cost, maxOwed) }
 
-func spend(credit *float64, part float64) bool {
-	if part >= 1 {
-		return true
-	}
-	*credit = min(*credit+part, maxCredit)
-	if *credit < 1 {
-		return false
-	}
-	*credit--
-	return true
+// Purposes of chance.
+const (
+	shareChance uint64 = iota + 1
+	leastChance
+	boundChance
+)
+
+// chance returns a number in [0, 1) that depends on the request and the time alone. It is as good as random: counting
+// requests instead would need many of each workspace and class on each node.
+func chance(r *Request, now time.Time, purpose uint64) float64 {
+	x := uint64(now.UnixNano()) ^ uint64(r.Key)<<32 ^ purpose*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return float64(x>>11) / (1 << 53)
 }
 
 func (f *flow) unlimited() {
@@ -129,19 +136,26 @@
 	if now.Sub(g.refreshedAt) < refreshInterval {
 		return
 	}
+	elapsed := now.Sub(g.refreshedAt)
 	g.refreshedAt = now
 	g.returns.expire(now)
 	g.sumDemand(now)
 	slack, _ := g.tightest(Priorities-1, now)
-	if math.IsInf(slack, 1) || g.wait < pressureWait*slack {
+	ratio := 0.0
+	if !math.IsInf(slack, 1) {
+		ratio = g.wait / slack
+	}
+	predicted := max(ratio+g.drift.sum/slack, 0)
+	g.capacity.observe(g.served.perSecond(now)+g.peersServed, g.demand, ratio, predicted, now)
+	if !g.capacity.pressed {
 		for _, f := range g.flows {
 			f.unlimited()
 		}
+		g.drift = drift{}
 		return
 	}
-	trim := (referenceWait - g.wait/slack) / referenceWait
-	trim = 1 + maxTrim*min(max(trim, -1), 1)
-	g.divide(trim * (g.admitted.perSecond(now) + g.peersCost))
+	g.divide(g.capacity.target())
+	g.predict(elapsed, now)
 }
 
 // sumDemand adds up the demand of all nodes and drops expired reports and idle workspaces.
@@ -156,15 +170,14 @@
 			delete(g.flows, name)
 		}
 	}
-	g.peersCost = 0
-	g.fresh = 0
+	g.peersServed, g.fresh = 0, 0
 	for node, report := range g.peers {
 		if now.Sub(report.at) > reportExpiry {
 			delete(g.peers, node)
 			continue
 		}
 		g.fresh++
-		g.peersCost += report.Admitted
+		g.peersServed += report.Served
 		for i := range report.Offers {
 			f := g.flow(report.Offers[i].Workspace)
 			for p, v := range report.Offers[i].PerSecond {
@@ -173,6 +186,10 @@
 			}
 		}
 	}
+	g.demand = 0
+	for _, f := range g.flows {
+		g.demand += f.total
+	}
 }
 
 // negligible is the demand in server-seconds per second below which a workspace counts as idle.
@@ -182,14 +199,13 @@
 // of its workspace, the most urgent first.
 func (g *Gate) divide(capacity float64) {
 	flows := make([]*flow, 0, len(g.flows))
-	weights, demand := 0.0, 0.0
+	weights := 0.0
 	for _, f := range g.flows {
 		flows = append(flows, f)
 		weights += f.weight
-		demand += f.total
 	}
 	sort.Slice(flows, func(i, j int) bool { return flows[i].total/flows[i].weight < flows[j].total/flows[j].weight })
-	served := min(capacity/max(demand, negligible), 1)
+	served := min(capacity/max(g.demand, negligible), 1)
 	for _, f := range flows {
 		share := min(f.total, capacity*f.weight/weights)
 		capacity -= share
@@ -215,9 +231,9 @@
 
 // Report is what a node tells the others about a service.
 type Report struct {
-	// Admitted is the cost that the node admits, in server-seconds per second.
-	Admitted float64
-	Offers   []Offer
+	// Served is the cost of the requests that servers have answered to the node, in server-seconds per second.
+	Served float64
+	Offers []Offer
 }
 
 // Offer is the cost that arrives at a node from one workspace, in server-seconds per second by priority.
@@ -249,7 +265,7 @@
 func (g *Gate) Export(now time.Time) Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	report := Report{Admitted: g.admitted.perSecond(now)}
+	report := Report{Served: g.served.perSecond(now)}
 	for name, f := range g.flows {
 		o := Offer{Workspace: name}
 		sum := 0.0
