--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -94,6 +94,7 @@
 	finalUsage *finalUsage
 	demand     *demandMeter
 	memory     *memoryAccount
+	admission  *admissionControl
 
 	retriesMu sync.Mutex
 	retries   map[string]*limit.RetryWindow
@@ -129,6 +130,7 @@
 		crashed: func(s serving.Server, now time.Time) { n.crashes.recordCrash(s, "probe_refused", now) }}
 	n.demand = newDemandMeter(now)
 	n.memory = newMemoryAccount(o.Settings.MemoryBytes)
+	n.admission = newAdmissionControl(o.Settings.MemoryBytes, now)
 	n.callers = &callerConns{log: o.Log, limits: n.callerLimits, conns: map[net.Conn]*callerConn{}}
 	n.config = &configView{store: o.Store, records: o.Records, names: o.Names, log: o.Log, onChange: n.configChanged}
 	n.servers = &serverView{store: o.Store, records: o.Records, table: o.Names.ServerTable, log: o.Log,
@@ -282,8 +284,9 @@
 	n.log.WithFields(logrus.Fields{"era": era, "rows": written}).Info(logline.RowsWrittenAgain)
 }
 
-// refreshViews reads the configuration and the servers from the store.
+// refreshViews reads the configuration and the servers from the store after a pause.
 func (n *Node) refreshViews(ctx context.Context) error {
+	n.admission.restart(time.Now())
 	if !n.viewsLoaded() {
 		return nil // the first read is in progress
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -66,6 +66,12 @@
 	sentAt     time.Time
 	firstEvent time.Duration
 	prefill    float64
+	// admitted is set when the request has passed admission; admissionCost is its predicted cost there. heldFor is how long
+	// it has waited for it, admissionReason why it was refused.
+	admitted        bool
+	admissionCost   float64
+	heldFor         time.Duration
+	admissionReason string
 	// refusalTimeLeft is the time left until the deadline when the request was refused because its first event was
 	// expected too late.
 	refusalTimeLeft time.Duration
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -60,6 +60,9 @@
 	Expected = "expected_ms"
 	Left     = "left_ms"
 	Target   = "target_ms"
+	// Held is how long a request waited for admission, in ms; Admission is why it was refused.
+	Held      = "held_ms"
+	Admission = "admission"
 )
 
 // Outcomes of requests in addition to the result codes.
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -141,7 +141,6 @@
 	viewAge     time.Duration // how old reports of other nodes are
 	wait        float64       // moving average of the wait in seconds
 	refreshedAt time.Time
-	fresh       int // other nodes whose reports are recent
 	returns     returns
 	start       slowStart
 	invalid     uint64
@@ -185,7 +184,7 @@
 		return g.reject(&r, f, Late, now)
 	}
 	reason, inShare := g.check(&r, f, now)
-	if reason == None && !g.start.take(r.Cost, g.fresh, now) {
+	if reason == None && !g.start.take(r.Cost, now) {
 		reason = SlowStart
 	}
 	if reason == None {
--- a/pkg/admission/replay_test.go
+++ b/pkg/admission/replay_test.go
@@ -129,7 +129,7 @@
 	for range nodes {
 		n := &replayNode{gate: New(r.now), held: map[*Waiter]*replayCall{}}
 		n.line.MaxBytes = 1 << 20
-		n.gate.SetSize(replayServers, nodes, r.now)
+		n.gate.SetSize(Size{Servers: replayServers, Nodes: nodes, Alive: nodes, Part: 1 / float64(nodes)}, r.now)
 		if nodes > 1 {
 			n.gate.SetViewAge(r.delay)
 		}
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -170,13 +170,12 @@
 			delete(g.flows, name)
 		}
 	}
-	g.peersServed, g.fresh = 0, 0
+	g.peersServed = 0
 	for node, report := range g.peers {
 		if now.Sub(report.at) > reportExpiry {
 			delete(g.peers, node)
 			continue
 		}
-		g.fresh++
 		g.peersServed += report.Served
 		for i := range report.Offers {
 			f := g.flow(report.Offers[i].Workspace)
--- a/pkg/admission/start.go
+++ b/pkg/admission/start.go
@@ -19,25 +19,30 @@
 // together they would fill the servers' queues beyond the time limits of the requests. Each of N nodes admits at most the
 // Nth part of the work that the servers can do.
 type slowStart struct {
-	until          time.Time
-	servers, nodes int
-	tokens         float64 // server-seconds
-	at             time.Time
+	until  time.Time
+	size   Size
+	tokens float64 // server-seconds
+	at     time.Time
+}
+
+// Size is the size of a service as a node knows it.
+type Size struct {
+	// Servers is the number of ready servers.
+	Servers int
+	// Nodes is the number of nodes of the deployment, Alive that of those heard of recently, both with this one.
+	Nodes, Alive int
+	// Part is the part of all requests that this node is expected to get.
+	Part float64
 }
 
 func (s *slowStart) begin(now time.Time) { s.until = now.Add(slowStartTime) }
 
 // rate returns the part of this node in the servers, in server-seconds per second; 0 while it is not known.
-func (s *slowStart) rate() float64 {
-	if s.servers == 0 || s.nodes == 0 {
-		return 0
-	}
-	return float64(s.servers) / float64(s.nodes)
-}
+func (s *slowStart) rate() float64 { return float64(s.size.Servers) * s.size.Part }
 
-// take takes the cost of a request. fresh is the number of other nodes whose reports are recent.
-func (s *slowStart) take(cost float64, fresh int, now time.Time) bool {
-	if now.After(s.until) && 2*fresh >= s.nodes-1 || s.nodes <= 1 {
+// take takes the cost of a request.
+func (s *slowStart) take(cost float64, now time.Time) bool {
+	if s.size.Nodes <= 1 || now.After(s.until) && 2*s.size.Alive >= s.size.Nodes {
 		return true
 	}
 	rate := s.rate()
@@ -57,14 +62,16 @@
 	return true
 }
 
-// SetSize sets the number of ready servers and of the nodes that send to them.
-func (g *Gate) SetSize(servers, nodes int, now time.Time) {
+// SetSize sets the size of the service.
+func (g *Gate) SetSize(size Size, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if float64(servers) > returnedFactor*float64(g.start.servers) && g.start.servers > 0 || servers > 0 && g.start.servers == 0 {
+	size.Servers, size.Part = max(size.Servers, 0), min(max(size.Part, 0), 1)
+	before := g.start.size
+	if before.Nodes > 0 && float64(size.Servers) > returnedFactor*float64(before.Servers) {
 		g.start.begin(now)
 	}
-	g.start.servers, g.start.nodes = max(servers, 0), max(nodes, 0)
+	g.start.size = size
 }
 
 // Restart starts slowly again, for example after the process was paused and its views are old.
