--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -20,6 +20,9 @@
 	waitPollInterval = 25 * time.Millisecond
 	// sizeInterval is how often the size of a service and the weights of workspaces are read again.
 	sizeInterval = 500 * time.Millisecond
+	// viewAgeIntervals is how old the reports of other nodes are at most, usually, in heartbeat intervals. The interval has a
+	// jitter of a third, and sending to all nodes takes a part of it.
+	viewAgeIntervals = 1.5
 	// utilizationInterval is how long the utilization of plain servers is used; it is summed over all nodes.
 	utilizationInterval = 50 * time.Millisecond
 	// usualUtilization is the part of the slots in use below which nothing is rejected for the load.
@@ -384,7 +387,7 @@
 	}
 	s.gate.SetSize(size, now)
 	if size.Nodes > 1 {
-		s.gate.SetViewAge(2 * n.peers.heartbeatInterval())
+		s.gate.SetViewAge(time.Duration(viewAgeIntervals * float64(n.peers.heartbeatInterval())))
 	}
 	weights := n.workspaceWeights()
 	s.gate.SetWeights(weights)
--- a/pkg/admission/capacity.go
+++ b/pkg/admission/capacity.go
@@ -27,8 +27,10 @@
 	idleGain = 0.5
 	// maxDrift limits the predicted growth of the wait per second.
 	maxDrift = 4.0
+	// fallShare is the part of a predicted fall of the wait that is relied on: admitting too early delays all classes.
+	fallShare = 0.6
 	// pull lowers what is admitted at once while the wait is above the reference.
-	pull = 0.5
+	pull = 1.5
 )
 
 // capacity estimates the cost per second that the servers can do. Under pressure it is what they have served; the trim
@@ -42,6 +44,7 @@
 	ratio     float64 // last predicted wait as a fraction of the slack
 	pressed   bool
 	calmSince time.Time
+	surgeEnds time.Time // until then the pressure comes from a surge that the views do not show yet
 	at        time.Time
 }
 
@@ -58,12 +61,15 @@
 		c.perSecond = max(served, c.perSecond*(1-min(elapsed/memoryTime.Seconds(), 1)))
 		return
 	}
-	if demand < calmDemand*c.target() || now.Sub(c.calmSince) > calmTime {
+	if now.After(c.surgeEnds) && demand < calmDemand*c.target() || now.Sub(c.calmSince) > calmTime {
 		c.pressed = ratio > pressureWait
 	}
 	if served > c.perSecond || ratio > busyWait { // servers that wait for requests show less than they can do
 		c.perSecond += (served - c.perSecond) * min(elapsed/capacityTime.Seconds(), 1)
 	}
+	if now.Before(c.surgeEnds) {
+		return // the views do not show the surge yet
+	}
 	gain := trimGain
 	if max(ratio, predicted) < busyWait/2 {
 		gain = idleGain
@@ -72,6 +78,16 @@
 	c.trim = min(max(c.trim, -maxTrim), maxTrim)
 }
 
+// surge puts the capacity under pressure, until the views show it, if the estimated demand exceeds by far what the servers
+// have done so far.
+func (c *capacity) surge(demand float64, viewAge time.Duration, now time.Time) {
+	if !c.pressed && c.perSecond > 0 && demand > surgeDemand*c.perSecond && now.After(c.surgeEnds) {
+		c.pressed, c.trim, c.calmSince = true, 0, now
+		c.surgeEnds = now.Add(viewAge + surgeTime)
+		c.perSecond *= surgeMargin
+	}
+}
+
 // target returns the cost per second to be admitted.
 func (c *capacity) target() float64 {
 	over := max(c.ratio-referenceWait, 0)
@@ -85,11 +101,17 @@
 	samples [driftSamples]driftSample
 	next    int
 	sum     float64
+	// mean is the moving average of the predicted change per second. What it predicts all the time is its own error, such
+	// as requests that return, and is left out.
+	mean float64
 }
 
 // driftSamples limits the age of views that is bridged to driftSamples x refreshInterval.
 const driftSamples = 32
 
+// driftTime is the time constant of the average change, several times the age of views.
+const driftTime = 8 * time.Second
+
 type driftSample struct {
 	at     time.Time
 	change float64
@@ -121,7 +143,7 @@
 			continue
 		}
 		within, over := 0.0, 0.0
-		for _, f := range g.flows {
+		for _, f := range g.ordered {
 			within += f.demand[p] * f.within[p]
 			over += f.demand[p] * (1 - f.within[p])
 		}
@@ -131,7 +153,12 @@
 	if wait+change < 0 { // servers without work do not get ahead
 		change = -wait
 	}
-	g.drift.add(change, g.viewAge, now)
+	if change < 0 {
+		change *= fallShare
+	}
+	perSecond := change / max(elapsed.Seconds(), 1e-3)
+	g.drift.mean += (perSecond - g.drift.mean) * min(elapsed.Seconds()/driftTime.Seconds(), 1)
+	g.drift.add(change-g.drift.mean*elapsed.Seconds(), g.viewAge, now)
 }
 
 // waitNow returns the wait of now, given the one that this node knows.
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -129,14 +129,16 @@
 type Gate struct {
 	mu          sync.Mutex
 	flows       map[string]*flow
+	ordered     []*flow // the flows in the order of their appearance, for sums that do not depend on that of a map
 	weights     map[string]float64
-	peers       map[string]*peerReport
+	peers       []*peerReport
 	classes     [Priorities]class
 	admitted    rate    // cost admitted by this node
 	served      rate    // cost of the requests that servers have answered
 	peersServed float64 // cost per second answered to the other nodes
 	demand      float64 // cost per second that arrives at all nodes
 	capacity    capacity
+	surge       surge
 	drift       drift
 	viewAge     time.Duration // how old reports of other nodes are
 	wait        float64       // moving average of the wait in seconds
@@ -155,7 +157,7 @@
 
 // New returns the gate of a service on a node that starts at now.
 func New(now time.Time) *Gate {
-	g := &Gate{flows: map[string]*flow{}, weights: map[string]float64{}, peers: map[string]*peerReport{}, refreshedAt: now}
+	g := &Gate{flows: map[string]*flow{}, weights: map[string]float64{}, refreshedAt: now}
 	g.returns.booked = map[uint32]booking{}
 	g.start.begin(now)
 	return g
@@ -177,6 +179,7 @@
 	if !r.Again {
 		f.offered[r.Priority].add(r.Cost, now)
 		g.observe(&r, now)
+		g.surge.arrival(now)
 	}
 	g.refresh(now)
 	r.Wait = g.waitNow(r.Wait)
@@ -332,6 +335,6 @@
 	}
 	_, rank := g.tightest(r.Priority, now)
 	own := max(g.admitted.perSecond(now), g.start.rate())
-	d.RetryAfter = g.returns.book(r.Key, rank, r.Cost, own, r.Left, now)
+	d.RetryAfter = g.returns.book(r.Key, rank, r.Cost, own, r.Left, g.viewAge, now)
 	return d
 }
--- a/pkg/admission/replay_test.go
+++ b/pkg/admission/replay_test.go
@@ -1,9 +1,11 @@
 package admission
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -247,11 +249,16 @@
 // decideHeld decides the waiting requests of a node again, in their order until one has to go on waiting, and those
 // whose time is over.
 func (r *replay) decideHeld(n *replayNode) {
+	var over []*Waiter
 	for w, c := range n.held {
 		if !r.now.Before(c.heldUntil) {
-			r.decide(c, w)
+			over = append(over, w)
 		}
 	}
+	slices.SortFunc(over, func(a, b *Waiter) int { return cmp.Compare(n.held[a].key, n.held[b].key) })
+	for _, w := range over {
+		r.decide(n.held[w], w)
+	}
 	for w := n.line.Next(); w != nil; w = n.line.Next() {
 		r.decide(n.held[w], w)
 		if n.line.Next() == w {
@@ -353,8 +360,8 @@
 }
 
 const (
-	burstFrom = 6 * time.Second
-	burstTo   = 16 * time.Second
+	burstFrom = 16 * time.Second
+	burstTo   = 26 * time.Second
 )
 
 func overload(times float64) func(time.Duration, int, int) float64 {
@@ -373,7 +380,7 @@
 		for _, nodes := range []int{1, 70} {
 			for rule, name := range []string{"gate", "target", "fifo"} {
 				r := &replay{rule: replayRule(rule), load: overload(times), aggressive: 0.3, from: burstFrom, to: burstTo, delay: 1200 * time.Millisecond}
-				got := r.run(nodes, 22*time.Second)
+				got := r.run(nodes, 32*time.Second)
 				seconds := (burstTo - burstFrom).Seconds()
 				t.Logf("%.1f x, %2d nodes, %-6s: goodput %.3f of capacity, by class %.3f %.3f %.3f, worked %.3f, longest wait %v; served of %d told a time %.3f, rejected %d",
 					times, nodes, name, got.goodput()/seconds, ratio(got.onTime[0], got.offered[0]), ratio(got.onTime[1], got.offered[1]), ratio(got.onTime[2], got.offered[2]),
@@ -408,7 +415,7 @@
 		for rule, name := range []string{"gate", "target", "fifo"} {
 			run := func(surge float64) *replayResult {
 				r := &replay{rule: replayRule(rule), load: load(surge), from: burstFrom, to: burstTo, delay: 1200 * time.Millisecond}
-				return r.run(nodes, 20*time.Second)
+				return r.run(nodes, 30*time.Second)
 			}
 			without, with := run(1), run(7)
 			t.Logf("%2d nodes %-6s: others %.3f, with the surge %.3f (%.3f); worked %.3f; surge served %.3f", nodes, name, others(without), others(with),
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// returnShare is the part of the admitted cost that is reserved for returns of the most urgent class; each class after
@@ -9,8 +13,8 @@
 	returnShare = 0.25
 	// honoredPart is the part of its remaining time that a client waits for a retry time at most.
 	honoredPart = 1.0 / 3
-	// minReturn is the shortest retry time: other nodes have heard of the reservation then. It is below the interval of
-	// heartbeats in the largest deployments, where a return may reach a node that has not.
+	// minReturn is the shortest retry time. The load has changed by then; it is longer where the other nodes hear of the
+	// reservation later.
 	minReturn = 300 * time.Millisecond
 	// returnTolerance is how much earlier than reserved a request may return, returnWindow how long after.
 	returnTolerance = 20 * time.Millisecond
@@ -38,7 +42,7 @@
 
 // book reserves the return of a request and returns the time until then, or 0 if the client would not wait that long. A
 // request that returns too early keeps its time.
-func (s *returns) book(key uint32, rank int, cost, admitted float64, left time.Duration, now time.Time) time.Duration {
+func (s *returns) book(key uint32, rank int, cost, admitted float64, left, viewAge time.Duration, now time.Time) time.Duration {
 	most := time.Duration(honoredPart * float64(left))
 	if b, ok := s.booked[key]; ok && b.due.After(now) {
 		if wait := b.due.Sub(now); wait <= most {
@@ -51,7 +55,7 @@
 		return 0
 	}
 	due := s.next[rank]
-	if earliest := now.Add(minReturn); due.Before(earliest) {
+	if earliest := now.Add(max(minReturn, viewAge)); due.Before(earliest) {
 		due = earliest
 	}
 	wait := due.Sub(now)
@@ -90,17 +94,18 @@
 	In  time.Duration
 }
 
-// Returns lists the reservations of this node that are not over, at most maxExported of them.
+// Returns lists the reservations of this node that are not over, at most the maxExported that are due first.
 func (g *Gate) Returns(now time.Time) []Return {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []Return
 	for key, b := range g.returns.booked {
-		if b.own && now.Before(b.due) && len(out) < maxExported {
+		if b.own && now.Before(b.due) {
 			out = append(out, Return{Key: key, In: b.due.Sub(now)})
 		}
 	}
-	return out
+	slices.SortFunc(out, func(a, b Return) int { return cmp.Or(cmp.Compare(a.In, b.In), cmp.Compare(a.Key, b.Key)) })
+	return out[:min(len(out), maxExported)]
 }
 
 // AddReturns stores the reservations of another node.
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -1,8 +1,9 @@
 package admission
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -71,6 +72,7 @@
 	f := &flow{name: workspace, weight: g.weight(workspace)}
 	f.unlimited()
 	g.flows[workspace] = f
+	g.ordered = append(g.ordered, f)
 	return f
 }
 
@@ -146,9 +148,10 @@
 		ratio = g.wait / slack
 	}
 	predicted := max(ratio+g.drift.sum/slack, 0)
+	g.capacity.surge(g.demand, g.viewAge, now)
 	g.capacity.observe(g.served.perSecond(now)+g.peersServed, g.demand, ratio, predicted, now)
 	if !g.capacity.pressed {
-		for _, f := range g.flows {
+		for _, f := range g.ordered {
 			f.unlimited()
 		}
 		g.drift = drift{}
@@ -160,22 +163,20 @@
 
 // sumDemand adds up the demand of all nodes and drops expired reports and idle workspaces.
 func (g *Gate) sumDemand(now time.Time) {
-	for name, f := range g.flows {
+	g.ordered = slices.DeleteFunc(g.ordered, func(f *flow) bool {
 		f.total = 0
 		for p := range Priorities {
 			f.demand[p] = f.offered[p].perSecond(now)
 			f.total += f.demand[p]
 		}
 		if f.total < negligible {
-			delete(g.flows, name)
+			delete(g.flows, f.name)
 		}
-	}
+		return f.total < negligible
+	})
 	g.peersServed = 0
-	for node, report := range g.peers {
-		if now.Sub(report.at) > reportExpiry {
-			delete(g.peers, node)
-			continue
-		}
+	g.peers = slices.DeleteFunc(g.peers, func(r *peerReport) bool { return now.Sub(r.at) > reportExpiry })
+	for _, report := range g.peers {
 		g.peersServed += report.Served
 		for i := range report.Offers {
 			f := g.flow(report.Offers[i].Workspace)
@@ -185,9 +186,17 @@
 			}
 		}
 	}
-	g.demand = 0
-	for _, f := range g.flows {
-		g.demand += f.total
+	reported := 0.0
+	for _, f := range g.ordered {
+		reported += f.total
+	}
+	growth := g.surge.growth(reported, now)
+	g.demand = reported * growth
+	for _, f := range g.ordered {
+		f.total *= growth
+		for p := range f.demand {
+			f.demand[p] *= growth
+		}
 	}
 }
 
@@ -197,13 +206,12 @@
 // divide divides the capacity between the workspaces, max-min by demand over weight, and each share between the classes
 // of its workspace, the most urgent first.
 func (g *Gate) divide(capacity float64) {
-	flows := make([]*flow, 0, len(g.flows))
+	flows := slices.Clone(g.ordered)
 	weights := 0.0
-	for _, f := range g.flows {
-		flows = append(flows, f)
+	for _, f := range g.ordered {
 		weights += f.weight
 	}
-	sort.Slice(flows, func(i, j int) bool { return flows[i].total/flows[i].weight < flows[j].total/flows[j].weight })
+	slices.SortStableFunc(flows, func(a, b *flow) int { return cmp.Compare(a.total/a.weight, b.total/b.weight) })
 	served := min(capacity/max(g.demand, negligible), 1)
 	for _, f := range flows {
 		share := min(f.total, capacity*f.weight/weights)
@@ -243,21 +251,28 @@
 
 type peerReport struct {
 	Report
-	at time.Time
+	node string
+	at   time.Time
 }
 
 // SetPeer stores the report of another node.
 func (g *Gate) SetPeer(node string, report Report, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.peers[node] = &peerReport{Report: report, at: now}
+	for _, r := range g.peers {
+		if r.node == node {
+			r.Report, r.at = report, now
+			return
+		}
+	}
+	g.peers = append(g.peers, &peerReport{Report: report, node: node, at: now})
 }
 
 // RemovePeer drops the report of a node that has left.
 func (g *Gate) RemovePeer(node string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.peers, node)
+	g.peers = slices.DeleteFunc(g.peers, func(r *peerReport) bool { return r.node == node })
 }
 
 // Export returns this node's report.
@@ -265,8 +280,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	report := Report{Served: g.served.perSecond(now)}
-	for name, f := range g.flows {
-		o := Offer{Workspace: name}
+	for _, f := range g.ordered {
+		o := Offer{Workspace: f.name}
 		sum := 0.0
 		for p := range Priorities {
 			o.PerSecond[p] = f.offered[p].perSecond(now)
--- a/pkg/admission/trace_test.go
+++ b/pkg/admission/trace_test.go
@@ -12,7 +12,7 @@
 	fmt.Sscan(os.Getenv("X"), &x)
 	r := &replay{load: overload(x), aggressive: 0.3, from: burstFrom, to: burstTo, delay: 1200 * time.Millisecond}
 	r.trace = func() {
-		if r.elapsed() < 5500*time.Millisecond || r.elapsed() > 18*time.Second || r.elapsed()%(500*time.Millisecond) != 0 {
+		if r.elapsed() < 15500*time.Millisecond || r.elapsed() > 28*time.Second || r.elapsed()%(500*time.Millisecond) != 0 {
 			return
 		}
 		g := r.nodes[0].gate
@@ -34,6 +34,6 @@
 		r.reasons = map[string]int{}
 	}
 	r.reasons = map[string]int{}
-	got := r.run(70, 22*time.Second)
+	got := r.run(70, 32*time.Second)
 	fmt.Println(got.onTime[0]/got.offered[0], got.onTime[1]/got.offered[1], got.onTime[2]/got.offered[2])
 }
