--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -333,8 +333,13 @@
 	if reason == OverShare {
 		return d // its later requests already use up the share
 	}
-	_, rank := g.tightest(r.Priority, now)
+	slack, rank := g.tightest(r.Priority, now)
+	// The other nodes have heard of the reservation then, and the servers' queues are within the bounds.
+	after := g.viewAge
+	if !math.IsInf(slack, 1) {
+		after = max(after, r.Wait-time.Duration(lessUrgent*slack*float64(time.Second)))
+	}
 	own := max(g.admitted.perSecond(now), g.start.rate())
-	d.RetryAfter = g.returns.book(r.Key, rank, r.Cost, own, r.Left, g.viewAge, now)
+	d.RetryAfter = g.returns.book(r.Key, rank, r.Cost, own, r.Left, after, now)
 	return d
 }
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -40,9 +40,9 @@
 	own bool // reserved by this node
 }
 
-// book reserves the return of a request and returns the time until then, or 0 if the client would not wait that long. A
-// request that returns too early keeps its time.
-func (s *returns) book(key uint32, rank int, cost, admitted float64, left, viewAge time.Duration, now time.Time) time.Duration {
+// book reserves the return of a request, after the given time or later, and returns the time until then, or 0 if the
+// client would not wait that long. A request that returns too early keeps its time.
+func (s *returns) book(key uint32, rank int, cost, admitted float64, left, after time.Duration, now time.Time) time.Duration {
 	most := time.Duration(honoredPart * float64(left))
 	if b, ok := s.booked[key]; ok && b.due.After(now) {
 		if wait := b.due.Sub(now); wait <= most {
@@ -55,7 +55,7 @@
 		return 0
 	}
 	due := s.next[rank]
-	if earliest := now.Add(max(minReturn, viewAge)); due.Before(earliest) {
+	if earliest := now.Add(max(minReturn, after)); due.Before(earliest) {
 		due = earliest
 	}
 	wait := due.Sub(now)
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -15,6 +15,9 @@
 	// overFactor marks a workspace as over its share if a smaller part of its demand than this, relative to that of all
 	// demand, is within it. Smaller differences come from the random arrival of its requests.
 	overFactor = 0.8
+	// urgentTolerance is by how much the demand of a workspace's most urgent class may exceed its share: the few requests
+	// of a class within rateTime differ from their mean by more than a third.
+	urgentTolerance = 1.5
 	// maxOwed limits what returned requests take from the share later, in server-seconds.
 	maxOwed = 1.0
 )
@@ -224,13 +227,14 @@
 
 // fill divides a share between the classes of its workspace.
 func (f *flow) fill(share float64) {
-	left := share
+	left, tolerance := share, urgentTolerance
 	for p, d := range f.demand {
 		if d <= 0 {
 			f.within[p], f.least[p] = 1, 0
 			continue
 		}
-		f.within[p] = min(left/d, 1)
+		f.within[p] = min(tolerance*left/d, 1)
+		tolerance = 1
 		f.least[p] = min(minClassShare*share/d, 1)
 		left = max(left-d, 0)
 	}
--- a/pkg/admission/surge.go
+++ b/pkg/admission/surge.go
@@ -11,10 +11,10 @@
 	usualTime = 6 * time.Second
 	// surgeDeviations is by how many standard deviations the arrivals have to exceed the usual ones: a node of a large
 	// deployment receives a few requests per second.
-	surgeDeviations = 3.0
+	surgeDeviations = 2.5
 	// surgeDemand is the demand, as a multiple of the capacity known so far, from which a surge counts as overload;
 	// surgeMargin is what the servers are assumed to do beyond that capacity, which may never have been used up.
-	surgeDemand = 1.5
+	surgeDemand = 1.3
 	surgeMargin = 1.3
 	// maxSurge limits the estimated growth.
 	maxSurge = 8.0
