--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -28,11 +28,14 @@
 	// classExpiry is how long a class bounds the wait of others after its last request on this node. A node of a large
 	// deployment receives about one request of the rarest class per second.
 	classExpiry = 10 * time.Second
-	// slackWeight is the weight of a new sample in the moving averages of a class's slack and of the wait.
-	slackWeight = 0.1
-	waitWeight  = 0.2
-	// minSlack keeps the bounds of a class positive whose requests take longer than its target.
-	minSlack = 20 * time.Millisecond
+	// The weights of a new sample in the moving averages of the wait, of a class's own time and of its target. Several
+	// routes may have one priority: lower targets weigh more, so that the average is near the lowest of the usual ones.
+	waitWeight         = 0.2
+	ownWeight          = 0.1
+	lowerTargetWeight  = 0.1
+	higherTargetWeight = 0.02
+	// maxOwnPart limits the part of its target that a class's own time is taken to be; long prompts may take longer.
+	maxOwnPart = 0.5
 
 	// The bounds of the wait, as fractions of the slack of the tightest class that is at least as urgent. urgentBound is
 	// that of the most urgent class within its share, the others are lower by boundStep for each class in between. The
@@ -153,10 +156,13 @@
 // class is what a Gate knows of the requests of one priority.
 type class struct {
 	seenAt time.Time
-	// slack is the moving average of the target less the request's own time, in seconds; 0 without a target.
-	slack float64
+	// target and own are moving averages in seconds; target is 0 without one.
+	target, own float64
 }
 
+// slack returns the longest wait with which a usual request of the class is on time, in seconds.
+func (c *class) slack() float64 { return c.target - min(c.own, maxOwnPart*c.target) }
+
 // New returns the gate of a service on a node that starts at now.
 func New(now time.Time) *Gate {
 	g := &Gate{flows: map[string]*flow{}, weights: map[string]float64{}, refreshedAt: now}
@@ -231,11 +237,16 @@
 func (g *Gate) observe(r *Request, now time.Time) {
 	c := &g.classes[r.Priority]
 	if r.Target > 0 {
-		slack := max(r.Target-r.Own, minSlack).Seconds()
-		if c.slack == 0 || now.Sub(c.seenAt) > classExpiry {
-			c.slack = slack
+		target, own := r.Target.Seconds(), r.Own.Seconds()
+		if c.target == 0 || now.Sub(c.seenAt) > classExpiry {
+			c.target, c.own = target, own
+		}
+		weight := higherTargetWeight
+		if target < c.target {
+			weight = lowerTargetWeight
 		}
-		c.slack += slackWeight * (slack - c.slack)
+		c.target += weight * (target - c.target)
+		c.own += ownWeight * (own - c.own)
 	}
 	c.seenAt = now
 	g.wait += waitWeight * (r.Wait.Seconds() - g.wait)
@@ -250,8 +261,8 @@
 		if now.Sub(c.seenAt) > classExpiry {
 			continue
 		}
-		if c.slack > 0 {
-			slack = min(slack, c.slack)
+		if c.target > 0 {
+			slack = min(slack, c.slack())
 		}
 		if q < p {
 			rank++
