--- a/internal/edge/admissionbeats.go
+++ b/internal/edge/admissionbeats.go
@@ -25,7 +25,7 @@
 	for name, s := range services {
 		report := s.gate.Export(now)
 		slices.SortFunc(report.Offers, func(x, y admission.Offer) int { return cmp.Compare(sum(y.PerSecond), sum(x.PerSecond)) })
-		m := &pb.ServiceAdmission{Service: nameHash(name), Served: toUnits(report.Served)}
+		m := &pb.ServiceAdmission{Service: nameHash(name), Served: toUnits(report.Served), Offered: toUnits(report.Offered)}
 		for _, offer := range report.Offers[:min(len(report.Offers), maxOffersSent)] {
 			if o := exportOffer(offer); len(o.Offered) > 0 {
 				m.Offers = append(m.Offers, o)
@@ -86,7 +86,7 @@
 }
 
 func peerReport(m *pb.ServiceAdmission, names map[uint32]string) admission.Report {
-	report := admission.Report{Served: float64(m.Served) / costUnits}
+	report := admission.Report{Served: float64(m.Served) / costUnits, Offered: float64(m.Offered) / costUnits}
 	for _, o := range m.Offers {
 		name, known := names[o.Workspace]
 		if !known {
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -18,6 +18,9 @@
 	// urgentTolerance is by how much the demand of a workspace's most urgent class may exceed its share: the few requests
 	// of a class within rateTime differ from their mean by more than a third.
 	urgentTolerance = 1.5
+	// offersWait is the wait, as a fraction of the tightest slack, from which a node reports what each workspace offers. It
+	// is below that from which shares limit anyone.
+	offersWait = 0.08
 	// maxOwed limits what returned requests take from the share later, in server-seconds.
 	maxOwed = 1.0
 )
@@ -79,6 +82,15 @@
 	return f
 }
 
+// own returns what arrives at this node from the workspace, in server-seconds per second, as of the last decay.
+func (f *flow) own() float64 {
+	sum := 0.0
+	for p := range f.offered {
+		sum += f.offered[p].sum
+	}
+	return sum / rateTime.Seconds()
+}
+
 func (g *Gate) weight(workspace string) float64 {
 	if w := g.weights[workspace]; w > 0 && !math.IsInf(w, 1) {
 		return w
@@ -178,9 +190,11 @@
 		return f.total < negligible
 	})
 	g.peersServed = 0
+	reported := 0.0
 	g.peers = slices.DeleteFunc(g.peers, func(r *peerReport) bool { return now.Sub(r.at) > reportExpiry })
 	for _, report := range g.peers {
 		g.peersServed += report.Served
+		reported += report.Offered
 		for i := range report.Offers {
 			f := g.flow(report.Offers[i].Workspace)
 			for p, v := range report.Offers[i].PerSecond {
@@ -189,16 +203,21 @@
 			}
 		}
 	}
-	reported := 0.0
+	attributed := 0.0
 	for _, f := range g.ordered {
-		reported += f.total
+		reported += f.own()
+		attributed += f.total
+	}
+	g.demand = reported * g.surge.growth(reported, now)
+	if attributed <= 0 {
+		return
 	}
-	growth := g.surge.growth(reported, now)
-	g.demand = reported * growth
+	// What other nodes have not reported by workspace, and the growth since, is taken to be like what is known.
+	scale := max(g.demand/attributed, 1)
 	for _, f := range g.ordered {
-		f.total *= growth
+		f.total *= scale
 		for p := range f.demand {
-			f.demand[p] *= growth
+			f.demand[p] *= scale
 		}
 	}
 }
@@ -242,9 +261,12 @@
 
 // Report is what a node tells the others about a service.
 type Report struct {
+	// Offered is the cost of all requests that arrive at the node, in server-seconds per second, and Offers the same by
+	// workspace; it is left out while the service is far from overload.
+	Offered float64
+	Offers  []Offer
 	// Served is the cost of the requests that servers have answered to the node, in server-seconds per second.
 	Served float64
-	Offers []Offer
 }
 
 // Offer is the cost that arrives at a node from one workspace, in server-seconds per second by priority.
@@ -284,6 +306,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	report := Report{Served: g.served.perSecond(now)}
+	slack, _ := g.tightest(Priorities-1, now)
+	loaded := g.capacity.pressed || g.surge.factor > 1 || g.wait > offersWait*slack
 	for _, f := range g.ordered {
 		o := Offer{Workspace: f.name}
 		sum := 0.0
@@ -291,7 +315,8 @@
 			o.PerSecond[p] = f.offered[p].perSecond(now)
 			sum += o.PerSecond[p]
 		}
-		if sum >= negligible {
+		report.Offered += sum
+		if loaded && sum >= negligible {
 			report.Offers = append(report.Offers, o)
 		}
 	}
