--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -345,8 +345,9 @@
 // reject returns the rejection of a request, with the time of its return if there is capacity for it.
 func (g *Gate) reject(r *Request, f *flow, reason Reason, now time.Time) Decision {
 	d := Decision{Verdict: Reject, Reason: reason}
-	if reason == OverShare {
-		return d // its later requests already use up the share
+	// Later requests of a workspace over its share use it up; and how long the queues become in a surge is not known.
+	if reason == OverShare || now.Before(g.capacity.surgeEnds) {
+		return d
 	}
 	slack, rank := g.tightest(r.Priority, now)
 	// The other nodes have heard of the reservation then, and the servers' queues are within the bounds.
