--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -53,10 +53,10 @@
 	lentPerAge = 8.0
 
 	// lateFactor is the longest expected time of a request with the most urgent priority as a multiple of its target; it
-	// is lower by lateStep for each step of priority, down to minLateFactor. A late response has about a tenth of its
-	// value, so that a margin of 20% covers the error of the estimate.
-	lateFactor    = 1.2
-	lateStep      = 0.1
+	// is lower by lateStep for each step of priority, down to minLateFactor. The margin covers the error of the estimate,
+	// which matters most for the most valuable requests; a late response has about a tenth of its value.
+	lateFactor    = 1.4
+	lateStep      = 0.15
 	minLateFactor = 0.9
 
 	// maxFlows limits the workspaces that are told apart; the others share one flow.
