admission: the demand of all nodes shows a surge earlier

Cause: the demand was reported with the time constant of the shares, 0.7 s. Change: the cost of all requests of a node is reported with 0.25 s.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -23,6 +23,9 @@
 
 	// rateTime is the time constant of measured rates. An idle share is returned within it.
 	rateTime = 700 * time.Millisecond
+	// fastRateTime is that of the cost of all requests. The sum over the nodes shows a surge earlier than rates of single
+	// workspaces could.
+	fastRateTime = 250 * time.Millisecond
 	// refreshInterval is how often shares are computed.
 	refreshInterval = 100 * time.Millisecond
 	// classExpiry is how long a class bounds the wait of others after its last request on this node. A node of a large
@@ -139,10 +142,11 @@
 	weights     map[string]float64
 	peers       []*peerReport
 	classes     [Priorities]class
-	admitted    rate    // cost admitted by this node
-	served      rate    // cost of the requests that servers have answered
-	peersServed float64 // cost per second answered to the other nodes
-	demand      float64 // cost per second that arrives at all nodes
+	arrived     fastRate // cost that arrives at this node
+	admitted    rate     // cost admitted by this node
+	served      rate     // cost of the requests that servers have answered
+	peersServed float64  // cost per second answered to the other nodes
+	demand      float64  // cost per second that arrives at all nodes
 	capacity    capacity
 	surge       surge
 	drift       drift
@@ -185,6 +189,7 @@
 	f := g.flow(r.Workspace)
 	if !r.Again {
 		f.offered[r.Priority].add(r.Cost, now)
+		g.arrived.add(r.Cost, now)
 		g.observe(r, now)
 		g.surge.arrival(now)
 	}
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -25,31 +25,26 @@
 	maxOwed = 1.0
 )
 
-// rate is an exponentially decaying sum.
-type rate struct {
-	sum float64
-	at  time.Time
-}
+// rate is an exponentially decaying sum with the time constant rateTime.
+type rate struct{ decayed }
 
-func (r *rate) add(v float64, now time.Time) {
-	r.decay(now)
-	r.sum += v
-}
-
-func (r *rate) decay(now time.Time) {
-	if elapsed := now.Sub(r.at); elapsed > 0 {
-		if r.sum != 0 {
-			r.sum *= math.Exp(-float64(elapsed) / float64(rateTime))
-		}
-		r.at = now
-	}
-}
+func (r *rate) add(v float64, now time.Time) { r.decayed.add(v, rateTime, now) }
 
 func (r *rate) perSecond(now time.Time) float64 {
-	r.decay(now)
+	r.add(0, now)
 	return r.sum / rateTime.Seconds()
 }
 
+// fastRate is the same with a shorter time constant, for sums over all nodes.
+type fastRate struct{ decayed }
+
+func (r *fastRate) add(v float64, now time.Time) { r.decayed.add(v, fastRateTime, now) }
+
+func (r *fastRate) perSecond(now time.Time) float64 {
+	r.add(0, now)
+	return r.sum / fastRateTime.Seconds()
+}
+
 // flow is the state of one workspace.
 type flow struct {
 	name    string
@@ -82,15 +77,6 @@
 	return f
 }
 
-// own returns what arrives at this node from the workspace, in server-seconds per second, as of the last decay.
-func (f *flow) own() float64 {
-	sum := 0.0
-	for p := range f.offered {
-		sum += f.offered[p].sum
-	}
-	return sum / rateTime.Seconds()
-}
-
 func (g *Gate) weight(workspace string) float64 {
 	if w := g.weights[workspace]; w > 0 && !math.IsInf(w, 1) {
 		return w
@@ -203,9 +189,9 @@
 			}
 		}
 	}
+	reported += g.arrived.perSecond(now)
 	attributed := 0.0
 	for _, f := range g.ordered {
-		reported += f.own()
 		attributed += f.total
 	}
 	g.demand = reported * g.surge.growth(reported, now)
@@ -261,8 +247,8 @@
 
 // Report is what a node tells the others about a service.
 type Report struct {
-	// Offered is the cost of all requests that arrive at the node, in server-seconds per second, and Offers the same by
-	// workspace; it is left out while the service is far from overload.
+	// Offered is the cost of all requests that arrive at the node, in server-seconds per second. Offers is the same by
+	// workspace, over a longer time; it is left out while the service is far from overload.
 	Offered float64
 	Offers  []Offer
 	// Served is the cost of the requests that servers have answered to the node, in server-seconds per second.
@@ -305,7 +291,7 @@
 func (g *Gate) Export(now time.Time) Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	report := Report{Served: g.served.perSecond(now)}
+	report := Report{Served: g.served.perSecond(now), Offered: g.arrived.perSecond(now)}
 	slack, _ := g.tightest(Priorities-1, now)
 	loaded := g.capacity.pressed || g.surge.factor > 1 || g.wait > offersWait*slack
 	for _, f := range g.ordered {
@@ -315,7 +301,6 @@
 			o.PerSecond[p] = f.offered[p].perSecond(now)
 			sum += o.PerSecond[p]
 		}
-		report.Offered += sum
 		if loaded && sum >= negligible {
 			report.Offers = append(report.Offers, o)
 		}
