--- a/internal/edge/admissiondecision_test.go
+++ b/internal/edge/admissiondecision_test.go
@@ -24,6 +24,7 @@
 	now := time.Now()
 	n := &Node{outliers: limit.NewOutliers(ejectPercent, time.Now), board: placement.NewBoard("a"), settings: &Settings{Cores: 1}, metrics: metrics.NewSet(), config: &configView{},
 		peers: &peers{log: logrus.NewEntry(logrus.New()), nodes: map[string]*peerNode{}, maxNodesSeen: 1}, admission: newAdmissionControl(256<<20, now)}
+	n.rollouts = newRollouts(Options{Settings: n.settings, Metrics: n.metrics})
 	servers := []serving.Server{{ID: "e", Service: "engine", State: serving.Ready, Slots: 8}, {ID: "d", Service: "desk", State: serving.Ready, Slots: 6}}
 	n.board.SetServers(servers)
 	n.board.SetPeer("other", map[string]placement.Load{"e": {Prefill: prefill, Running: running}, "d": {Running: running}}, now)
