placement: engines that hold the prompt are not left to unseen requests with other prompts

The unseen requests of other nodes were thought to compete for the engine that has this request's prompt cached, and shared tokens weighed a third of what they did before.

Change: such an engine takes no part in the distribution of unseen requests, and shared tokens weigh 6 again.

--- a/pkg/placement/bycost.go
+++ b/pkg/placement/bycost.go
@@ -33,6 +33,8 @@
 	round, each float64
 	uncached    float64
 	workTime    float64
+	// holdsPrompt is set if the server is expected to have parts of the prompt cached.
+	holdsPrompt bool
 }
 
 // expected returns the expected time if other nodes have sent extra requests to the server that this node has not seen.
@@ -68,7 +70,8 @@
 // Load pattern: some 26 to 95 nodes with loads that are up to 1.2 s old choose at the same time. If all took the server with
 // the least expected time, it would be overrun until the next reports, and then the next one. The unseen requests are
 // therefore thought of as sent one after the other to where each has the least expected time, and the request takes the
-// server of a random one of them. So the requests of all nodes together level the expected times.
+// server of a random one of them. So the requests of all nodes together level the expected times. A server that is expected to
+// have the prompt cached takes no part in this: the unseen requests have other prompts, cached on other servers.
 func choose(options []option, unseen, position float64) (index int, extra float64) {
 	steps := min(max(int(math.Ceil(unseen)), 1), maxSteps)
 	each := unseen / float64(steps)
@@ -83,7 +86,7 @@
 				best = i
 			}
 		}
-		if step <= 0 {
+		if step <= 0 || options[best].holdsPrompt {
 			return best, extras[best]
 		}
 		extras[best] += each
--- a/pkg/placement/enginecost.go
+++ b/pkg/placement/enginecost.go
@@ -16,9 +16,9 @@
 	// networkTime is the part of the time to a first event that does not depend on the engine.
 	networkTime = 0.004
 	// sharedRecomputeWeight weighs shared prompt tokens that would have to be recomputed, in addition to the time they take.
-	// It is lower than recomputeWeight because the speed of engines on shared machines differs by more than a cached prompt
-	// saves.
-	sharedRecomputeWeight = 2
+	// With 2, and unseen requests that are thought to compete for the same cached prompt, 16.6 million shared tokens were read
+	// again in 30 s of a day at high load, instead of 7.3 million.
+	sharedRecomputeWeight = 6
 	// prefillEffect is the part of the time of a prefill by which each running request is delayed: prompts are prefilled in
 	// chunks between decoding steps.
 	prefillEffect = 0.005
@@ -83,6 +83,7 @@
 		for rank, s := range preferred {
 			if s == o.server {
 				cached = max(cached, assumedCacheHits[rank]*shared)
+				o.holdsPrompt = shared > 0
 			}
 		}
 		o.uncached = max(float64(r.PromptTokens)-cached, 0)
