--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -129,7 +128,7 @@
 	switch {
 	case req.sends > 0 || req.admitted:
 		return ticket, nil
-	case n.sharesCapacity(req.service.Name):
+	case n.board.OnSharedMachines(req.service.Name):
 		return n.admitOrWait(ctx, req, ticket, now)
 	case req.service.Engine != nil:
 		return n.admitByTarget(req, ticket, now)
@@ -137,16 +136,6 @@
 	return ticket, nil
 }
 
-// sharesCapacity reports whether admission by shares decides for a service: its servers share their machines, so that their
-// capacity changes, or one workspace can crowd out the others.
-func (n *Node) sharesCapacity(service string) bool {
-	if n.board.OnSharedMachines(service) {
-		return true
-	}
-	c := n.config.Load()
-	return c != nil && c.HasDominantWorkspace()
-}
-
 // admitByTarget checks that the latency target and the deadline can be met.
 func (n *Node) admitByTarget(req *request, ticket *placement.Ticket, now time.Time) (*placement.Ticket, *code.Error) {
 	expected := now.Sub(req.arrived) - req.restrictedFor + ticket.Expected
@@ -370,23 +359,9 @@
 	case admission.Late:
 		refusal = code.New(code.DeadlineUnreachable, "the servers are too busy to answer in time")
 	}
-	retryAfter := d.RetryAfter
-	if retryAfter == 0 {
-		retryAfter = spreadRetryAfter(r.Left, rand.Float64())
-	}
-	return refusal.WithRetryAfter(retryAfter)
-}
-
-// spreadRetryAfter returns when a request without a reserved time may return: callers wait for at most a third of the time
-// they have left, and those refused together must not return together. point is uniform in [0, 1).
-func spreadRetryAfter(left time.Duration, point float64) time.Duration {
-	longest := min(left/3, maxSpreadRetryAfter)
-	return longest/2 + time.Duration(point*float64(longest/2))
+	return refusal.WithRetryAfter(d.RetryAfter)
 }
 
-// maxSpreadRetryAfter is the longest of these times: bursts of a class or workspace last for some seconds.
-const maxSpreadRetryAfter = 3 * time.Second
-
 // updateSize tells the gate of a service about its servers, the nodes and the weights of workspaces. The weight is the
 // workspace's limit: operators size it by what the workspace usually needs.
 func (n *Node) updateSize(s *serviceAdmission, service string, now time.Time) {
--- a/pkg/serving/config.go
+++ b/pkg/serving/config.go
@@ -13,16 +13,14 @@
 	Workspaces []*Workspace
 	Limits     Limits
 
-	routes   map[string][]*Route // by lower-case host, longest prefix first
-	keys     map[string]*Workspace
-	dominant bool
+	routes map[string][]*Route // by lower-case host, longest prefix first
+	keys   map[string]*Workspace
 }
 
 // NewConfig returns a Config with an index of its routes by host and of its workspaces by key.
 func NewConfig(version uint64, routes []*Route, services []*Service, workspaces []*Workspace, limits Limits) *Config {
 	c := &Config{Version: version, Services: make(map[string]*Service, len(services)), Workspaces: workspaces,
-		Limits: limits, routes: make(map[string][]*Route), keys: make(map[string]*Workspace),
-		dominant: hasDominantWorkspace(workspaces)}
+		Limits: limits, routes: make(map[string][]*Route), keys: make(map[string]*Workspace)}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
@@ -41,28 +39,6 @@
 	return c
 }
 
-// dominantRatio is how many times the median of the workspaces' limits the largest one must be for it to dominate: it can
-// then ask for as much as most other workspaces together.
-const dominantRatio = 8
-
-// HasDominantWorkspace reports whether one workspace's limit exceeds those of most others so far that it can crowd them out
-// while it keeps to its limit. Workspaces without a limit are left out.
-func (c *Config) HasDominantWorkspace() bool { return c.dominant }
-
-func hasDominantWorkspace(workspaces []*Workspace) bool {
-	var limits []float64
-	for _, w := range workspaces {
-		if w.Rate > 0 {
-			limits = append(limits, w.Rate)
-		}
-	}
-	if len(limits) < 3 {
-		return false
-	}
-	sort.Float64s(limits)
-	return limits[len(limits)-1] >= dominantRatio*limits[len(limits)/2]
-}
-
 // Match returns the route of a host with the longest matching path prefix, or nil. The host is case-insensitive and may
 // include a port.
 func (c *Config) Match(host, path string) *Route {
--- a/pkg/serving/config_test.go
+++ b/pkg/serving/config_test.go
@@ -27,25 +27,3 @@
 	assert.Equal(t, EffectivePriority(r, &Workspace{}), 2)
 	assert.Equal(t, EffectivePriority(r, &Workspace{HasPriority: true}), 0)
 }
-
-// TestDominantWorkspace guards against deployments with limits of the usual spread that are taken for ones with a
-// workspace that dominates, and the reverse.
-func TestDominantWorkspace(t *testing.T) {
-	for _, test := range []struct {
-		rates []float64
-		want  bool
-	}{
-		{[]float64{1440, 627, 386, 273, 209, 168, 139, 119, 103, 91, 81, 73, 66, 61, 56, 52}, true},
-		{[]float64{1662, 955, 690, 548, 459, 396, 350, 315, 287, 263, 244, 228, 214, 201, 190, 181}, false},
-		{[]float64{100, 57, 41, 33, 28}, false},
-		{[]float64{100, 1}, false},
-		{[]float64{100, 0, 0, 0}, false},
-		{nil, false},
-	} {
-		var workspaces []*Workspace
-		for _, rate := range test.rates {
-			workspaces = append(workspaces, &Workspace{Rate: rate})
-		}
-		assert.Equal(t, NewConfig(1, nil, nil, workspaces, Limits{}).HasDominantWorkspace(), test.want, "%v", test.rates)
-	}
-}
