--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -38,7 +38,6 @@
 	for _, u := range n.quota.Export(now) {
 		b.Uses = append(b.Uses, &pb.WorkspaceUse{Workspace: nameHash(u.Workspace), Total: int64(u.Total), Level: int64(u.Level)})
 	}
-	b.Admission = n.admission.export(now)
 	return b
 }
 
@@ -76,14 +75,12 @@
 	if heartbeat.ServedAgeMs != nil {
 		n.crashes.tracker.AddPeerServed(strikewire.Ago(heartbeat.GetServedAgeMs(), now))
 	}
-	n.admission.apply(heartbeat, n.workspaceWeights, now)
 	n.fetcher.handleHeartbeat(heartbeat, now)
 }
 
 func (n *Node) peerRestarted(node string, started int64) {
 	n.quota.RemovePeer(incarnation(node, started))
 	n.board.RemovePeer(node)
-	n.admission.removePeer(node)
 }
 
 // workspaceUses maps the workspace hashes of a heartbeat to workspace names; unknown workspaces are skipped.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -89,7 +89,6 @@
 	rollouts   *rollouts
 	demand     *demandMeter
 	memory     *memoryAccount
-	admission  *admissionControl
 
 	retriesMu sync.Mutex
 	retries   map[string]*limit.RetryWindow
@@ -127,7 +126,6 @@
 	n.rollouts = newRollouts(o)
 	n.crashes.crashed = n.rollouts.serverCrashed
 	n.memory = newMemoryAccount(o.Settings.MemoryBytes)
-	n.admission = newAdmissionControl(o.Settings.MemoryBytes, now)
 	n.config = &configView{store: o.Store, records: o.Records, names: o.Names, log: o.Log, onChange: n.configChanged, onRow: func(row platform.Row) { n.rollouts.applyRow(row, time.Now()) }}
 	n.servers = &serverView{store: o.Store, records: o.Records, table: o.Names.ServerTable, log: o.Log,
 		onChange: n.serversChanged, entries: map[string]*serverEntry{}}
@@ -269,9 +267,8 @@
 	n.log.WithFields(logrus.Fields{"era": era, "rows": written}).Info(logline.RowsWrittenAgain)
 }
 
-// refreshViews reads the configuration and the servers from the store after a pause.
+// refreshViews reads the configuration and the servers from the store.
 func (n *Node) refreshViews(ctx context.Context) error {
-	n.admission.restart(time.Now())
 	if !n.viewsLoaded() {
 		return nil // the first read is in progress
 	}
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -103,12 +103,6 @@
 	if req.restrictedFor > 0 {
 		fields["restricted_ms"] = req.restrictedFor.Milliseconds()
 	}
-	if req.heldFor > 0 {
-		fields[logline.Held] = req.heldFor.Milliseconds()
-	}
-	if req.admissionReason != "" {
-		fields[logline.Admission] = req.admissionReason
-	}
 	if req.reason != "" {
 		fields[logline.Reason] = req.reason
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -138,7 +138,7 @@
 		case state == strike.Isolate && n.crashes.tracker.InFlight(req.content.Digest):
 			wait = restrictedPollInterval
 		default:
-			ticket, refusal := n.pickServer(ctx, req)
+			ticket, refusal := n.pickServer(req)
 			if refusal != nil {
 				return nil, nil, refusal
 			}
@@ -169,24 +169,10 @@
 	return code.New(code.RequestQuarantined, "this request has crashed backend servers").WithRetryAfter(crashRetryAfter)
 }
 
-// pickServer chooses a server for a request and decides whether the request is sent; see admit.
-func (n *Node) pickServer(ctx context.Context, req *request) (*placement.Ticket, *code.Error) {
+// pickServer chooses a server. Before the first send it counts the request as demand and, for an engine, checks that the
+// latency target and the deadline can be met.
+func (n *Node) pickServer(req *request) (*placement.Ticket, *code.Error) {
 	now := time.Now()
-	ticket, refusal := n.pick(req, now)
-	if req.service.Engine == nil && req.sends == 0 {
-		n.demand.add(req.service.Name, 0, 0, now)
-	}
-	if refusal != nil {
-		return nil, refusal
-	}
-	if req.service.Engine != nil && req.sends == 0 {
-		n.demand.add(req.service.Name, ticket.Prefill(), float64(req.expectedOutput()), now)
-	}
-	return n.admit(ctx, req, ticket, now)
-}
-
-// pick chooses a server.
-func (n *Node) pick(req *request, now time.Time) (*placement.Ticket, *code.Error) {
 	choice := n.choice(req)
 	var ticket *placement.Ticket
 	for _, choice.Eligible = range n.rollouts.choices(req, now) {
@@ -199,10 +185,23 @@
 			break
 		}
 	}
+	if req.service.Engine == nil && req.sends == 0 {
+		n.demand.add(req.service.Name, 0, 0, now)
+	}
 	if ticket == nil {
 		retryAfter := max(serverRetryAfter, n.board.PauseLeft(req.service.Name, now))
 		return nil, code.New(code.NoBackendServer, "no server of the service can take the request").WithRetryAfter(retryAfter)
 	}
+	if req.service.Engine != nil && req.sends == 0 {
+		n.demand.add(req.service.Name, ticket.Prefill(), float64(req.expectedOutput()), now)
+		expected := now.Sub(req.arrived) - req.restrictedFor + ticket.Expected
+		decision := placement.Admit(expected, req.route.LatencyTarget, req.deadline.Sub(now), req.priority)
+		if !decision.Admit {
+			req.expected, req.refusalTimeLeft = expected, req.deadline.Sub(now)
+			ticket.End(placement.Abandoned, now)
+			return nil, code.New(code.DeadlineUnreachable, "the engines are too busy to answer in time").WithRetryAfter(decision.RetryAfter)
+		}
+	}
 	return ticket, nil
 }
 
@@ -231,7 +230,6 @@
 	}
 	now := time.Now()
 	n.rollouts.end(ctx, req.versionAttempt, result, now)
-	defer func() { n.admissionEnded(req, result, now.Sub(req.sentAt), now) }() // after the ticket has ended
 	switch result.status {
 	case delivered:
 		if result.connLost {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -72,12 +72,6 @@
 	prefill    float64
 	// versionAttempt is the attempt in progress if it is evidence for a rollout.
 	versionAttempt *versionAttempt
-	// admitted is set when the request has passed admission; admissionCost is its predicted cost there. heldFor is how long
-	// it has waited for it, admissionReason why it was refused.
-	admitted        bool
-	admissionCost   float64
-	heldFor         time.Duration
-	admissionReason string
 	// refusalTimeLeft is the time left until the deadline when the request was refused because its first event was
 	// expected too late.
 	refusalTimeLeft time.Duration
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -71,9 +71,6 @@
 	// PredictedCost and MeasuredCost are the time of a whole server that a request was predicted to take and took, in ms.
 	PredictedCost = "predicted_cost_ms"
 	MeasuredCost  = "cost_ms"
-	// Held is how long a request waited for admission, in ms; Admission is why it was refused.
-	Held      = "held_ms"
-	Admission = "admission"
 )
 
 // Outcomes of requests in addition to the result codes.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -60,12 +60,6 @@
 	gometrics.GetOrRegisterGauge("pollenlug_"+name, s.registry).Update(value)
 }
 
-// AddGauge adds delta to a gauge that is only changed by this method.
-func (s *Set) AddGauge(name string, delta int64) {
-	level := gometrics.GetOrRegisterCounter("pollenlug_"+name, s.registry)
-	level.Inc(delta)
-}
-
 // Observe records a duration in a histogram, which is written in seconds.
 func (s *Set) Observe(name string, d time.Duration) {
 	histogram := func() gometrics.Histogram {
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -51,8 +51,6 @@
 	DeadlineUnreachable    Code = 3005
 	RetryBudgetExhausted   Code = 3006
 	NodeLeaving            Code = 3007
-	ShareExceeded          Code = 3008
-	Overloaded             Code = 3009
 	OutcomeUnknown         Code = 4001
 	CallInProgress         Code = 4002
 	ClaimStoreUnavailable  Code = 4003
@@ -99,8 +97,6 @@
 	{DeadlineUnreachable, "deadline_unreachable", http.StatusServiceUnavailable, "The request would not be served before its deadline."},
 	{RetryBudgetExhausted, "retry_budget_exhausted", http.StatusServiceUnavailable, "An attempt failed and the retry budget is spent."},
 	{NodeLeaving, "node_leaving", http.StatusServiceUnavailable, "The entry node is leaving and knows no live node."},
-	{ShareExceeded, "share_exceeded", http.StatusServiceUnavailable, "The workspace uses more than its share of the capacity while others need theirs."},
-	{Overloaded, "overloaded", http.StatusServiceUnavailable, "The capacity goes to more urgent requests. With a retry time, capacity is reserved for the return."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The non-repeatable call may have run; its outcome is not known."},
 	{CallInProgress, "call_in_progress", http.StatusConflict, "Another request with the same key is still running."},
 	{ClaimStoreUnavailable, "claim_store_unavailable", http.StatusServiceUnavailable, "The table service did not confirm the claim; the call was not sent."},
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"container/heap"
 	"context"
 	"math"
 	"sync"
@@ -8,10 +9,10 @@
 	"time"
 
 	"github.com/pollenlug/pollenlug/pkg/code"
-	"github.com/pollenlug/pollenlug/pkg/fairqueue"
 )
 
-// fairQueue gives slots to waiting requests by start-time fair queueing between workspaces; see package fairqueue. Within
+// fairQueue gives slots to waiting requests by start-time fair queueing: each workspace has a virtual start time that
+// advances by cost over weight with each request served, and the workspace with the earliest one is served next. Within
 // a workspace, requests are ordered by priority, higher values first, then by arrival.
 //
 // The queue's capacity is divided between the workspaces by weight, so that one workspace cannot fill it up.
@@ -27,7 +28,9 @@
 
 	mu             sync.Mutex
 	totalWeight    float64
-	order          fairqueue.Queue[*waiter]
+	virtualTime    float64
+	meanCost       float64 // moving average of the cost of the requests served
+	backlogged     workspaceHeap
 	recentlyServed map[*workspace]bool // served within recentlyServedTime
 	lastSequence   uint64
 
@@ -38,19 +41,23 @@
 
 // queuedWorkspace is the part of a workspace that is guarded by the queue's lock, except for the atomic fields.
 type queuedWorkspace struct {
-	flow       fairqueue.Flow[*waiter]
+	weight     float64
+	start      float64   // virtual start time of the next request
 	lastServed time.Time // when the queue last gave it a slot
+	waiters    waiterHeap
+	index      int // position in the queue's workspace heap while waiters is not empty
 
 	// Moving averages of the service time and of its absolute deviation, in seconds, as float64 bits.
 	meanService, deviation atomic.Uint64
 }
 
 type waiter struct {
-	workspace *workspace
-	priority  uint32
-	deadline  time.Time
-	place     fairqueue.Item[*waiter]
-	ready     chan *code.Error
+	priority uint32
+	sequence uint64
+	cost     float64
+	deadline time.Time
+	index    int // position in the heap, -1 when it has left the queue
+	ready    chan *code.Error
 }
 
 const (
@@ -58,6 +65,10 @@
 	releaseRateDecay = 0.7
 	serviceDecay     = 0.9
 	minWaiting       = 4 // requests of each workspace that may wait whatever its weight
+	costDecay        = 0.95
+	// idleCredit is the number of requests of mean cost that a workspace may have served ahead of its share after using
+	// less than its share. Without it, bursts of such a workspace would wait as if the share were its only capacity.
+	idleCredit = 16
 
 	// One slot in 16 is reserved, on nodes with at least 8 slots, for workspaces served within the last second.
 	reserveDivisor     = 16
@@ -117,15 +128,14 @@
 // wait queues a request until it has a slot, its deadline passes or ctx ends.
 func (q *fairQueue) wait(ctx context.Context, w *workspace, config *Workspace, req *Request, now time.Time) error {
 	item := &waiter{
-		workspace: w,
-		priority:  req.Priority + config.Priority,
-		deadline:  req.Deadline,
-		ready:     make(chan *code.Error, 1),
+		priority: req.Priority + config.Priority,
+		cost:     cost(req.Tokens),
+		deadline: req.Deadline,
+		ready:    make(chan *code.Error, 1),
 	}
-	item.place = fairqueue.Item[*waiter]{Rank: -int64(item.priority), Cost: cost(req.Tokens), Value: item}
 	q.mu.Lock()
 	q.updateReleaseRate(now)
-	w.queued.flow.Weight = float64(max(1, config.Share))
+	w.queued.weight = float64(max(1, config.Share))
 	if refusal := q.checkWait(w, item, now); refusal != nil {
 		q.mu.Unlock()
 		return refusal
@@ -156,8 +166,8 @@
 // leave removes a request from the queue. If it was given a slot in the meantime, the slot goes to the next request.
 func (q *fairQueue) leave(w *workspace, item *waiter, reason *code.Error) error {
 	q.mu.Lock()
-	if item.place.Queued() {
-		q.remove(item)
+	if item.index >= 0 {
+		q.remove(w, item)
 		q.mu.Unlock()
 		return reason
 	}
@@ -175,8 +185,8 @@
 // priority is higher.
 func (q *fairQueue) checkWait(w *workspace, item *waiter, now time.Time) *code.Error {
 	ahead := 0
-	for _, other := range w.queued.flow.Items() {
-		if other.Value.priority >= item.priority {
+	for _, other := range w.queued.waiters {
+		if other.priority >= item.priority {
 			ahead++
 		}
 	}
@@ -188,30 +198,33 @@
 				WithRetryAfter(clampRetry(wait + q.serviceTime(w) - left))
 		}
 	}
-	if w.queued.flow.Len() < q.maxWaiting(w) {
+	if len(w.queued.waiters) < q.maxWaiting(w) {
 		return nil
 	}
 	full := code.New(code.QueueFull, "the queue is full").WithRetryAfter(clampRetry(wait))
-	last := w.queued.flow.Last().Value
+	last := w.queued.waiters.last()
 	if last.priority >= item.priority {
 		return full
 	}
-	q.remove(last)
+	q.remove(w, last)
 	last.ready <- full
 	return nil
 }
 
 // maxWaiting returns the number of requests of a workspace that may wait.
 func (q *fairQueue) maxWaiting(w *workspace) int {
-	weights := max(q.totalWeight, w.queued.flow.Weight)
-	return max(minWaiting, int(float64(q.limit)*w.queued.flow.Weight/weights))
+	weights := max(q.totalWeight, w.queued.weight)
+	return max(minWaiting, int(float64(q.limit)*w.queued.weight/weights))
 }
 
 // expectedWait returns the time until n more requests of a workspace are served, at the current rate of released slots.
 func (q *fairQueue) expectedWait(w *workspace, n int) time.Duration {
-	weights := q.order.Weights()
-	if w.queued.flow.Len() == 0 {
-		weights += w.queued.flow.Weight
+	weights := 0.0
+	for _, other := range q.backlogged {
+		weights += other.queued.weight
+	}
+	if len(w.queued.waiters) == 0 {
+		weights += w.queued.weight
 	}
 	rate := q.releaseRate
 	if rate <= 0 {
@@ -222,7 +235,7 @@
 		}
 		rate = float64(q.slots.Load()) / service
 	}
-	seconds := float64(n) * weights / w.queued.flow.Weight / rate
+	seconds := float64(n) * weights / w.queued.weight / rate
 	return time.Duration(min(seconds, 3600) * float64(time.Second))
 }
 
@@ -251,39 +264,51 @@
 
 func (q *fairQueue) push(w *workspace, item *waiter) {
 	q.lastSequence++
-	item.place.Order = int64(q.lastSequence)
+	item.sequence = q.lastSequence
 	q.waiting.Add(1)
-	q.order.Push(&w.queued.flow, &item.place)
+	heap.Push(&w.queued.waiters, item)
+	if len(w.queued.waiters) == 1 {
+		w.queued.start = max(w.queued.start, q.virtualTime-idleCredit*q.meanCost/w.queued.weight)
+		heap.Push(&q.backlogged, w)
+	}
 }
 
-func (q *fairQueue) remove(item *waiter) {
-	q.order.Remove(&item.place)
+func (q *fairQueue) remove(w *workspace, item *waiter) {
+	heap.Remove(&w.queued.waiters, item.index)
+	item.index = -1
 	q.waiting.Add(-1)
+	if len(w.queued.waiters) == 0 {
+		heap.Remove(&q.backlogged, w.queued.index)
+	}
 }
 
 // dispatch gives free slots to waiting requests, by the virtual start times of their workspaces.
 func (q *fairQueue) dispatch() {
-	if q.order.Len() == 0 {
+	if len(q.backlogged) == 0 {
 		return
 	}
 	now := q.now()
 	q.updateReleaseRate(now)
-	for q.order.Len() > 0 {
-		_, first := q.order.First()
-		item := first.Value
-		w := item.workspace
+	for len(q.backlogged) > 0 {
+		w := q.backlogged[0]
 		if q.reservedForOthers(w, now) || !q.takeSlot() {
 			return
 		}
-		q.remove(item)
+		item := w.queued.waiters[0]
+		q.remove(w, item)
 		if !item.deadline.IsZero() && now.Add(q.serviceTime(w)).After(item.deadline) {
 			q.taken.Add(-1)
 			item.ready <- q.deadlineRefusalLocked(w)
 			continue
 		}
-		q.order.Charge(&w.queued.flow, item.place.Cost)
+		q.virtualTime = max(q.virtualTime, w.queued.start)
+		q.meanCost = costDecay*q.meanCost + (1-costDecay)*item.cost
+		w.queued.start += item.cost / w.queued.weight
 		w.queued.lastServed = now
 		q.recentlyServed[w] = true
+		if len(w.queued.waiters) > 0 {
+			heap.Fix(&q.backlogged, w.queued.index)
+		}
 		item.ready <- nil
 	}
 }
@@ -301,7 +326,7 @@
 			delete(q.recentlyServed, other)
 			continue
 		}
-		if other != w && other.queued.flow.Len() == 0 && other.queued.flow.StartsBefore(&w.queued.flow) {
+		if other != w && len(other.queued.waiters) == 0 && other.queued.start < w.queued.start {
 			return true
 		}
 	}
@@ -316,5 +341,5 @@
 
 func (q *fairQueue) deadlineRefusalLocked(w *workspace) *code.Error {
 	return code.New(code.DeadlineUnreachable, "the deadline came too close while the request waited").
-		WithRetryAfter(clampRetry(q.expectedWait(w, w.queued.flow.Len()+1)))
+		WithRetryAfter(clampRetry(q.expectedWait(w, len(w.queued.waiters)+1)))
 }
