--- a/internal/callerguard/guard.go
+++ b/internal/callerguard/guard.go
@@ -208,12 +208,17 @@
 	if n == 0 {
 		return n, err
 	}
+	before := c.scanner.Headers
 	reason := c.scanner.Scan(p[:n], c.guard.Limits())
 	if reason == headerlimit.None {
 		reason = c.update(time.Now)
 	}
 	if reason != headerlimit.None {
-		return 0, c.refuse(reason, p)
+		serving := c.isServing()
+		if reason == headerlimit.Memory && before == c.ended && c.scanner.Headers == before+1 {
+			serving = false // the only complete header is the one that is refused
+		}
+		return 0, c.refuse(reason, serving, p)
 	}
 	return n, err
 }
@@ -238,15 +243,18 @@
 		g.mu.Unlock()
 		return headerlimit.None // the next read fails
 	}
-	// A new connection stays in the phase Reading from the time it was accepted.
-	if c.entry.Phase() != phase && (phase != headerlimit.Idle || c.ended > 0) {
-		g.table.Enter(c.entry, phase, now())
-	}
 	var replaced []*headerlimit.Entry
 	ok := true
 	if cost > c.entry.Charged() {
+		if c.entry.Phase() == headerlimit.Idle {
+			g.table.Enter(c.entry, headerlimit.Reading, now()) // the header that has just begun is the newest one
+		}
 		replaced, ok = g.table.Charge(c.entry, cost)
 	}
+	// A new connection stays in the phase Reading from the time it was accepted.
+	if c.entry.Phase() != phase && !c.entry.IsClosed() && (phase != headerlimit.Idle || c.ended > 0) {
+		g.table.Enter(c.entry, phase, now())
+	}
 	g.mu.Unlock()
 	g.closeEntries(headerlimit.Memory, replaced...)
 	if !ok {
@@ -282,10 +290,11 @@
 }
 
 // refuse ends the connection and returns the error for net/http, which sends nothing after io.EOF. The client gets an
-// answer unless it could be taken for that of a request in progress. buffer is overwritten.
-func (c *conn) refuse(reason headerlimit.Reason, buffer []byte) error {
+// answer unless it could be taken for that of another request: serving says whether there is one before what is refused.
+// buffer is overwritten.
+func (c *conn) refuse(reason headerlimit.Reason, serving bool, buffer []byte) error {
 	c.guard.report(reason, 1)
-	if c.isServing() {
+	if serving {
 		c.guard.closeConn(c)
 		return errRefused
 	}
--- a/pkg/headerlimit/headerlimit_test.go
+++ b/pkg/headerlimit/headerlimit_test.go
@@ -122,3 +122,40 @@
 	}
 	assert.Equal(t, budget.Used(), int64(0))
 }
+
+// TestBurstReplacesIdleConnections guards against ordinary clients that replace each other's new connections while idle ones
+// fill the table.
+func TestBurstReplacesIdleConnections(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(100, NewBudget(1<<20, nil))
+	for range 100 {
+		e, _ := table.Open(nil, now)
+		table.Enter(e, Idle, now)
+	}
+	now = now.Add(5 * time.Second)
+	var burst []*Entry
+	for range 50 {
+		now = now.Add(time.Millisecond)
+		e, replaced := table.Open(nil, now)
+		assert.Assert(t, e != nil && replaced != nil && replaced.Owner == nil)
+		burst = append(burst, e)
+	}
+	for _, e := range burst {
+		assert.Assert(t, !e.IsClosed(), "a connection of the burst was replaced")
+	}
+	now = now.Add(headerGrace)
+	_, replaced := table.Open(nil, now)
+	assert.Equal(t, replaced, burst[0], "a connection without a header outlives an idle one")
+}
+
+// TestPaddedLengthInPiecesIsRefused guards against a body of unknown length that is taken for further headers: its connection
+// would count as serving a request for good.
+func TestPaddedLengthInPiecesIsRefused(t *testing.T) {
+	limits := Limits{HeaderBytes: 16 << 10}
+	var s Scanner
+	assert.Equal(t, s.Scan([]byte("POST / HTTP/1.1\r\nContent-Le"), limits), None)
+	assert.Equal(t, s.Scan([]byte("ngth:"+strings.Repeat(" ", 80)+"27\r\n"), limits), Framing)
+	s = Scanner{}
+	assert.Equal(t, s.Scan([]byte("POST / HTTP/1.1\r\nContent-La"), limits), None)
+	assert.Equal(t, s.Scan([]byte("nguage:"+strings.Repeat(" ", 80)+"27\r\n"), limits), None)
+}
--- a/pkg/headerlimit/scanner.go
+++ b/pkg/headerlimit/scanner.go
@@ -212,6 +212,8 @@
 		}
 		if s.part == header && complete {
 			s.field(line)
+		} else if s.part == header && delimits(line) {
+			return Framing // its value is not known, so neither is where the next header begins
 		}
 		return None
 	}
@@ -246,6 +248,12 @@
 	}
 }
 
+// delimits reports whether a field, of which only the begin is known, says where the body ends.
+func delimits(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte{':'})
+	return bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding)
+}
+
 func decimal(value []byte) (n int64, ok bool) {
 	if len(value) == 0 || len(value) > 18 { // digits that fit an int64
 		return 0, false
--- a/pkg/headerlimit/table.go
+++ b/pkg/headerlimit/table.go
@@ -93,9 +93,11 @@
 
 // Table decides which connections of a listener stay open. Its methods are not safe for concurrent use.
 //
-// Connections: at its limit, a new connection replaces the one that has waited longest for its header, else the one
-// that has been idle longest, else the one that has waited longest for its body. Ordinary clients send their header at once, so a crowd replaces its own connections first,
-// and shuts out ordinary clients only if it opens as many connections as the limit in the time that a header takes.
+// Connections: at its limit, a new connection replaces one that has waited for its header for headerGrace, else the one that
+// has been idle longest, else the one that has waited longest for its header, else for its body. Ordinary clients send
+// their header at once, so a crowd replaces its own connections first, and shuts out ordinary clients only if it opens as
+// many connections as the limit in the time that a header takes. Without the grace time, a burst of ordinary clients would
+// replace each other while connections that have been idle for seconds stay.
 //
 // Headers: what exceeds the budget closes the connections whose headers were begun last; those that were begun earlier
 // end by their timeout. Connections with a complete request are never closed for another one.
@@ -124,7 +126,7 @@
 // refused because all others serve requests.
 func (t *Table) Open(owner any, now time.Time) (opened, replaced *Entry) {
 	if t.count >= t.limit {
-		if replaced = t.oldest(); replaced == nil {
+		if replaced = t.replaceable(now); replaced == nil {
 			return nil, nil
 		}
 		t.Close(replaced)
@@ -135,15 +137,30 @@
 	return opened, replaced
 }
 
-func (t *Table) oldest() *Entry {
-	for phase := range t.waiting {
-		if head := &t.waiting[phase]; head.next != head {
-			return head.next
+// headerGrace is how long a new connection has to send its header before it is replaced in place of an idle one.
+const headerGrace = 300 * time.Millisecond
+
+// replaceable returns the connection that a new one replaces at the limit.
+func (t *Table) replaceable(now time.Time) *Entry {
+	if e := t.first(Reading); e != nil && now.Sub(e.since) >= headerGrace {
+		return e
+	}
+	for _, phase := range [...]Phase{Idle, Reading, Receiving} {
+		if e := t.first(phase); e != nil {
+			return e
 		}
 	}
 	return nil
 }
 
+// first returns the connection that has been longest in a phase, or nil.
+func (t *Table) first(phase Phase) *Entry {
+	if head := &t.waiting[phase]; head.next != head {
+		return head.next
+	}
+	return nil
+}
+
 // Enter moves an open entry to another phase.
 func (t *Table) Enter(e *Entry, phase Phase, now time.Time) {
 	e.unlink()
@@ -187,6 +204,9 @@
 		return nil, true
 	}
 	for !t.budget.take(delta) {
+		if e.phase != Reading { // trailers, and headers behind a request, are newer than any header that is being read
+			return replaced, false
+		}
 		victim := t.newestCharged(e)
 		if victim == nil || victim == e {
 			return replaced, false
