placement, edge: no second server for calls; failures are compared with those of the other servers

A review of the second server found that a hanging first server left no trace, a failed response could be dropped for one that never came, evidence of a rollout went to the wrong version, and a suspect request could run on two servers. A server's failures are compared with the mean of the others, not of all: with two servers, the one that failed everything was avoided only beyond eight failures.

stall, edge: a fast failure no longer counts as an answer that shows how long attempts take; heartbeats without a view count as signs of life of other nodes.

--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -65,7 +65,7 @@
 }
 
 // sendPlain sends a request of a non-streaming route to a server and passes the response to the caller.
-func (n *Node) sendPlain(ctx context.Context, req *request, ticket *placement.Ticket) (result sendResult) {
+func (n *Node) sendPlain(ctx context.Context, req *request, ticket *placement.Ticket) sendResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := n.startStallTimer(req, ticket, cancel)
@@ -74,11 +74,7 @@
 	if err != nil {
 		return sendResult{status: notSent, reason: "invalid_request"}
 	}
-	resp, second, err := n.exchangeInTime(ctx, req, out, ticket, timer)
-	defer func() { result.second = second }()
-	if second != nil {
-		ticket = second.ticket
-	}
+	resp, err := n.client.Exchange(out)
 	if err != nil {
 		return classify(ctx, err)
 	}
@@ -94,7 +90,9 @@
 		return sendResult{status: responseLost, reason: "answer_cut", connLost: true}
 	}
 	timer.stop()
-	n.forecasts.Record(req.service.Name, ticket.Expected, time.Since(req.sentAt), time.Now())
+	if resp.StatusCode < http.StatusInternalServerError { // a fast failure says nothing about how long answers take
+		n.forecasts.Record(req.service.Name, ticket.Expected, time.Since(req.sentAt), time.Now())
+	}
 	response.header = n.headers.ForwardResponse(response.header)
 	if resp.StatusCode >= http.StatusInternalServerError && req.route.Repeat == serving.Idempotent {
 		if response.rest == nil {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -68,8 +68,6 @@
 	connRefused, connLost bool
 	// unsent is set if the send was canceled before a byte of the request left this node.
 	unsent bool
-	// second is set if the result is that of another server than the one that the request was sent to first.
-	second *secondSend
 	// retryReserved is set if a retry has already been taken from the budget.
 	retryReserved bool
 }
@@ -217,17 +215,12 @@
 func (n *Node) sendTo(ctx context.Context, req *request, stream *streamRelay, ticket *placement.Ticket, run *strike.Run) sendResult {
 	var result sendResult
 	req.versionAttempt = n.rollouts.begin(req, ticket.Server, time.Now())
-	req.run = run
 	if req.route.Stream {
 		result = stream.send(ctx, ticket, run)
 	} else {
 		result = n.sendPlain(ctx, req, ticket)
 	}
 	result.ticket = ticket
-	if result.second != nil {
-		ticket, run = result.second.ticket, result.second.run
-		result.ticket = ticket
-	}
 	now := time.Now()
 	n.rollouts.end(ctx, req.versionAttempt, result, now)
 	switch result.status {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -75,8 +75,6 @@
 	// refusalTimeLeft is the time left until the deadline when the request was refused because its first event was
 	// expected too late.
 	refusalTimeLeft time.Duration
-	// run is that on the last server to which the request was sent, except a second one at the same time.
-	run *strike.Run
 	// predictedCost and measuredCost are those of a served request of a service on shared machines, in server-seconds.
 	predictedCost, measuredCost float64
 }
--- a/internal/edge/serverview.go
+++ b/internal/edge/serverview.go
@@ -364,12 +364,12 @@
 
 // observePeer compares a peer's view with this one and reports whether the peer's should be fetched.
 func (v *serverView) observePeer(peer *pb.ServerViewState, now time.Time) bool {
-	if peer == nil || peer.Version == 0 {
-		return false
-	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.isolation.heard(now)
+	if peer == nil || peer.Version == 0 {
+		return false
+	}
 	if peer.Version < v.version {
 		return false
 	}
--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -50,11 +50,11 @@
 	var best *server
 	var bestScore time.Duration
 	candidates := b.candidates(c, now)
-	usual := b.usualFailures(candidates, now)
+	failures := b.sumFailures(candidates, now)
 	for _, s := range candidates {
 		load := b.total(s, now)
 		jitter := time.Duration(b.unreported[c.Service] / float64(max(s.Slots, 1)) * float64(max(s.latency, defaultPlainLatency)))
-		score := plainScore(load, s.Slots, s.latency) + failureCost(load.Failures, usual) + b.commonPenalty(s, now) + b.randomBelow(min(jitter, maxJitter))
+		score := plainScore(load, s.Slots, s.latency) + failureCost(failures, load.Failures, len(candidates)) + b.commonPenalty(s, now) + b.randomBelow(min(jitter, maxJitter))
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -65,13 +65,12 @@
 	return b.begin(best, now, 0, bestScore, nil)
 }
 
-// usualFailures returns the usual number of recent failures of a server among candidates.
-func (b *Board) usualFailures(candidates []*server, now time.Time) float64 {
-	sum := 0.0
+// sumFailures returns the number of recent failures of all candidates together.
+func (b *Board) sumFailures(candidates []*server, now time.Time) (sum float64) {
 	for _, s := range candidates {
 		sum += b.total(s, now).Failures
 	}
-	return usualFailures(sum / float64(max(len(candidates), 1)))
+	return sum
 }
 
 // commonPenalty returns the part of the score that is common to all kinds of servers.
--- a/pkg/placement/plaincost.go
+++ b/pkg/placement/plaincost.go
@@ -7,11 +7,6 @@
 	// and for equal work. In replays of 26 nodes with skewed work, 0.171 of the calls are late with 1, 0.147 with 2, 0.138
 	// with 3 and 0.144 with 5.
 	unseenFactor = 3
-	// secondGain is how many times longer the first server must be expected to take than a second one for a request to be
-	// sent again.
-	secondGain = 1.5
-	// secondCheck is how often it is considered whether a second server would answer sooner.
-	secondCheck = 20 * time.Millisecond
 )
 
 // pickPlainByCost selects the server on which a call is expected to end first.
@@ -77,50 +72,12 @@
 	for i := range options {
 		sum += options[i].server.failures()
 	}
-	usual := usualFailures(sum / float64(len(options)))
 	for i := range options {
-		options[i].penalty += failureCost(options[i].server.failures(), usual).Seconds()
+		options[i].penalty += failureCost(sum, options[i].server.failures(), len(options)).Seconds()
 	}
 }
 
 // failures is the number of recent failures that all nodes have seen.
 func (s *server) failures() float64 { return s.own.Failures + max(0, s.shared.peers.Failures) }
 
-// SecondServer decides whether a repeatable call that has no answer yet is sent again, to another server, so that it ends
-// before its target: next is when to ask again if not, 0 if it is too late for another server.
-//
-// Load pattern: a call waits in the queue of a server that has become slow, while others answer at once. A second one that
-// starts only after the target is no use, and one for each call that takes longer than most would double the load.
-func (b *Board) SecondServer(t *Ticket, c Choice, target time.Duration, now time.Time) (send bool, next time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.sharedMachines[c.Service] {
-		return false, 0
-	}
-	_, second, ok := b.choosePlain(&c, now)
-	if !ok {
-		return false, 0
-	}
-	work, round := b.costs.Work(c.Service, c.Route), b.costs.Rates(c.Service).Work
-	first := option{server: t.server}
-	b.fillPlain(&first, &c, work, round, now)
-	return secondServer(now.Sub(t.startedAt), seconds(first.fixed), second, target)
-}
-
-// secondServer decides SecondServer: first is the expected time of the work on the first server, whose queue ahead has
-// become shorter meanwhile, second the expected time on another one.
-func secondServer(elapsed, first, second, target time.Duration) (send bool, next time.Duration) {
-	if elapsed+second > target {
-		return false, 0
-	}
-	latest := target - second - secondCheck
-	if elapsed < min(max(first, second), latest) {
-		return false, max(min(max(first, second), latest)-elapsed, time.Millisecond)
-	}
-	if float64(first) > secondGain*float64(second) {
-		return true, 0
-	}
-	return false, secondCheck
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/placement/shared.go
+++ b/pkg/placement/shared.go
@@ -178,7 +178,7 @@
 }
 
 // trial returns the index of a server that a request should try because nothing has been heard of it since it was slow, or
-// index. Only repeatable requests do, which can be sent to a second server, and of them those that are short.
+// index. Only repeatable requests do, which can be sent to another server when they stall, and of them those that are short.
 //
 // Load pattern: a server becomes slow for some seconds, and all nodes stop using it. None of them then notices that it has
 // recovered, and if all assumed so at the same time, each trial of a server that is still slow would make many requests late.
