--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -131,9 +131,24 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// ErrInvalidResponse means that the final response has a status below 200. net/http returns a switch of protocols as one,
-// with a body that reads from the connection without regard to the request's context. No request asks for a switch.
-var ErrInvalidResponse = errors.New("httpclient: not a final response")
+// ErrInvalidResponse means that a response is none that HTTP/1 allows.
+var ErrInvalidResponse = errors.New("httpclient: invalid response")
+
+// maxStatus is the highest status that a response may have; see RFC 9110 section 15.
+const maxStatus = 599
+
+// CheckHead returns ErrInvalidResponse if net/http has accepted the head of a final response that is not valid in HTTP/1.
+func CheckHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %q", ErrInvalidResponse, resp.Proto)
+	}
+	// A switch of protocols is returned as a final response, with a body that reads from the connection without regard to
+	// the request's context. No request asks for one.
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return fmt.Errorf("%w: status %q", ErrInvalidResponse, resp.Status)
+	}
+	return nil
+}
 
 // Response is a response to a request, with what is known of its connection.
 type Response struct {
@@ -180,9 +195,9 @@
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
 		out := &Response{resp, reused, current.Load()}
-		if resp.StatusCode < http.StatusOK {
+		if err := CheckHead(resp); err != nil {
 			out.Discard()
-			return nil, fmt.Errorf("%w: %w: status %d", backend.ErrInterrupted, ErrInvalidResponse, resp.StatusCode)
+			return nil, fmt.Errorf("%w: %w", backend.ErrInterrupted, err)
 		}
 		return out, nil
 	}
--- a/internal/adapter/platformhttp/platformhttp.go
+++ b/internal/adapter/platformhttp/platformhttp.go
@@ -31,6 +31,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	api "github.com/pollenlug/pollenlug/internal/platformapi"
 	"github.com/pollenlug/pollenlug/pkg/platform"
 )
@@ -248,9 +249,8 @@
 		return call.transportError(ctx, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode < http.StatusOK {
-		// The body of a switch of protocols reads from the connection, which the end of ctx does not stop.
-		return call.transportError(ctx, true, fmt.Errorf("status %d", resp.StatusCode))
+	if err := httpclient.CheckHead(resp); err != nil {
+		return call.transportError(ctx, true, err)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, api.MaxBodyBytes+1))
 	if err != nil || len(data) > api.MaxBodyBytes {
--- a/internal/adapter/platformhttp/platformhttp_test.go
+++ b/internal/adapter/platformhttp/platformhttp_test.go
@@ -225,3 +225,20 @@
 	assert.ErrorIs(t, err, platform.ErrNotFound)
 	assert.Equal(t, client.Retries(), uint64(1), "the retry did not use a new connection")
 }
+
+// Guards against responses with an invalid head that are taken for those of the service.
+func TestInvalidHeadIsNoResponse(t *testing.T) {
+	for _, start := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 101 OK", "HTTP/1.1 600 Failed", "HTTP/2.0 200 OK"} {
+		c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, start+"\r\nContent-Length: 19\r\n\r\n{\"kind\":\"conflict\"}") // the client may have closed it
+		}), Timeouts{})
+		_, err := c.Table().Commit(t.Context(), nil)
+		assert.ErrorIs(t, err, platform.ErrOutcomeUnknown, "%q", start)
+	}
+}
--- /dev/null
+++ b/internal/edge/invalidhead_test.go
@@ -0,0 +1,50 @@
+package edge_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// respondWith sends a request of each kind for each response, which the servers write with the attempt's id and signature
+// between start and end, and calls check with the caller's.
+func respondWith(t *testing.T, starts, ends []string, check func(t *testing.T, start, end string, got reply)) {
+	for kind, service := range map[string]string{"book": "desk", "look": "desk", "draft": "engine"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.configure()
+			var start, end string
+			for i := range 3 {
+				d.script(fmt.Sprint(service, "-", i), service, func(conn net.Conn, attempt string, _ int) bool {
+					write(conn, start+"\r\nPollenlug-Server-Signature: signed\r\nPollenlug-Attempt-Id: "+attempt+"\r\n"+end)
+					return false
+				})
+			}
+			n := d.node()
+			for i := range starts {
+				for j := range ends {
+					start, end = starts[i], ends[j]
+					attempt := fmt.Sprint(kind, "-", i, "-", j)
+					check(t, start, end, n.do(t, call{path: fmt.Sprint("/", kind, "/", attempt), header: attemptHeader(attempt)}))
+				}
+			}
+		})
+	}
+}
+
+// Guards against responses that are passed on although they have a status that no final response has, or a version of the
+// protocol that the request does not have.
+func TestInvalidStatusLineIsNotPassedOn(t *testing.T) {
+	lines := []string{"HTTP/1.1 000", "HTTP/1.1 000 OK", "HTTP/1.0 000 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 +00 OK", "HTTP/1.1 +99 OK", "HTTP/1.1 020 OK",
+		"HTTP/1.1 00 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2e2 OK", "HTTP/1.1 101 OK", "HTTP/1.1 600 OK", "HTTP/1.1 700 OK", "HTTP/1.1 999 OK",
+		"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/9.9 200 OK", "HTTP/1.1200 OK", "HTTP 200 OK"}
+	body := events(1, 2)
+	ends := []string{fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), "\r\n" + body, "Content-Length: 0\r\n\r\n"}
+	respondWith(t, lines, ends, func(t *testing.T, start, end string, got reply) {
+		assert.Check(t, got.status == http.StatusBadGateway, "%q, %q: %d %q", start, end, got.status, got.body)
+	})
+}
