--- a/internal/adapter/httpclient/head_test.go
+++ b/internal/adapter/httpclient/head_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/pollenlug/pollenlug/internal/standin/netfault"
@@ -49,3 +50,22 @@
 		assert.ErrorIs(t, err, backend.ErrInterrupted, "status %d", status)
 	}
 }
+
+// Guards against a response whose head has a field with an invalid name; see RFC 9110 section 5.6.2.
+func TestInvalidFieldNameIsAnError(t *testing.T) {
+	const token = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for c := range 256 {
+		if c == ':' { // ends the name
+			continue
+		}
+		for _, form := range []string{"X%sName: 1", "X-Name%s: 1"} {
+			line := fmt.Sprintf(form, string([]byte{byte(c)}))
+			_, err := exchange(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 0\r\n\r\n")
+			if strings.IndexByte(token, byte(c)) >= 0 {
+				assert.NilError(t, err, "%q", line)
+			} else {
+				assert.ErrorIs(t, err, backend.ErrInterrupted, "%q", line)
+			}
+		}
+	}
+}
--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -147,6 +148,13 @@
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %q", ErrInvalidResponse, resp.Status)
 	}
+	// net/http rejects all other invalid bytes in names. It does not recognize a field such as "Content-Length ", so the
+	// body may end elsewhere than the server meant.
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: field name %q", ErrInvalidResponse, name)
+		}
+	}
 	return nil
 }
 
--- a/internal/adapter/platformhttp/platformhttp_test.go
+++ b/internal/adapter/platformhttp/platformhttp_test.go
@@ -228,7 +228,8 @@
 
 // Guards against responses with an invalid head that are taken for those of the service.
 func TestInvalidHeadIsNoResponse(t *testing.T) {
-	for _, start := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 101 OK", "HTTP/1.1 600 Failed", "HTTP/2.0 200 OK"} {
+	for _, start := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 101 OK", "HTTP/1.1 600 Failed", "HTTP/2.0 200 OK",
+		"HTTP/1.1 500 Failed\r\nX Broken: 1"} {
 		c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, err := http.NewResponseController(w).Hijack()
 			if err != nil {
--- a/internal/edge/invalidhead_test.go
+++ b/internal/edge/invalidhead_test.go
@@ -48,3 +48,19 @@
 		assert.Check(t, got.status == http.StatusBadGateway, "%q, %q: %d %q", start, end, got.status, got.body)
 	})
 }
+
+// Guards against responses that are passed on although the name of a field in their head is invalid. Such a line may have
+// been meant to say where the body ends.
+func TestInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	body := events(1, 2)
+	var ends []string
+	for _, line := range []string{"X Broken: 1", "X-Broken : 1", "Content-Length : 42", "Content Length: 42", "Transfer-Encoding : chunked",
+		"X\tBroken: 1", "X-Broken\t: 1", "X\x00Broken: 1", "X\x01: 1", "X\rBroken: 1", "X\x7f: 1", ": 1", "X-Broken"} {
+		for _, lines := range []string{line + "\r\n", line + "\r\nX-Last: 1\r\n"} {
+			ends = append(ends, "Content-Type: text/event-stream\r\n"+lines+"\r\n"+body, lines+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+		}
+	}
+	respondWith(t, []string{"HTTP/1.1 200 OK", "HTTP/1.1 404 Not Found"}, ends, func(t *testing.T, start, end string, got reply) {
+		assert.Check(t, got.status == http.StatusBadGateway, "%q, %q: %d %q %v", start, end, got.status, got.body, got.header)
+	})
+}
