--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -13,9 +13,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pollenlug/pollenlug/pkg/backend"
@@ -233,6 +235,9 @@
 	client *Client
 	addr   string
 
+	writing  sync.Mutex // held during a write
+	writeErr error      // of the first write that failed; guarded by writing
+
 	mu      sync.Mutex
 	writes  uint64
 	sealed  bool
@@ -249,7 +254,43 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. It returns io.EOF only if the server has ended the connection in order, which completes a
+// response without a length. The system reports a broken connection once: if a write gets that error, reads return io.EOF.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		if broken := c.brokenWrite(); broken != nil {
+			return n, broken
+		}
+	}
+	return n, err
+}
+
+// brokenWrite returns the error of a write that has found the connection broken. It must be called after a read has
+// returned io.EOF. A write in progress ends first, because it may be about to return that error.
+func (c *conn) brokenWrite() error {
+	if !c.writing.TryLock() {
+		// What is left of the request is of no use to a server that has ended the connection.
+		_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed, which ends the write as well
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	switch {
+	case errors.Is(c.writeErr, os.ErrDeadlineExceeded):
+		return nil
+	case errors.Is(c.writeErr, syscall.EPIPE):
+		return nil // the server had ended its side before it closed the connection
+	}
+	return c.writeErr
 }
 
 // Close implements net.Conn.
--- a/internal/adapter/servicehttp/cut_test.go
+++ b/internal/adapter/servicehttp/cut_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -64,3 +66,33 @@
 	}()
 	return listener.Addr().String()
 }
+
+// Guards against an answer without a length that looks whole although its server reset the connection while the call was
+// being written.
+func TestAnswerThatIsResetDuringTheCallIsAnError(t *testing.T) {
+	const calls = 20
+	body := make([]byte, 8<<20) // more than the buffers of a connection hold
+	client := New(Options{})
+	defer client.Close()
+	for i := range calls {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			conn, err := listener.Accept()
+			_ = listener.Close()
+			if err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10) // only makes the call block earlier
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				t.Error(err)
+			}
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\npart of an answer")) // the client may have given up
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}()
+		resp, err := client.Call(t.Context(), listener.Addr().String(), backend.CallRequest{Method: http.MethodPost, Path: "/", Body: body})
+		assert.Check(t, errors.Is(err, backend.ErrInterrupted), "%d: %+v %v", i, resp, err)
+	}
+}
--- a/internal/edge/faultyservers_test.go
+++ b/internal/edge/faultyservers_test.go
@@ -26,10 +26,32 @@
 // script registers a server whose responses respond writes. It returns false to close the connection. number counts the
 // requests on the connection.
 func (d *deployment) script(id, service string, respond func(conn net.Conn, attempt string, number int) bool) *scriptedServer {
+	s := &scriptedServer{}
+	d.acceptor(id, service, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for number := 0; ; number++ {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			attempt := request.Header.Get("Pollenlug-Attempt-Id")
+			s.mu.Lock()
+			s.runs = append(s.runs, attempt)
+			s.mu.Unlock()
+			if !respond(conn, attempt, number) {
+				return
+			}
+		}
+	})
+	return s
+}
+
+// acceptor registers a server that handles each connection with handle and closes it then.
+func (d *deployment) acceptor(id, service string, handle func(conn net.Conn)) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(d.t, err)
 	d.t.Cleanup(func() { _ = listener.Close() })
-	s := &scriptedServer{}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -38,21 +60,7 @@
 			}
 			go func() {
 				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for number := 0; ; number++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					attempt := request.Header.Get("Pollenlug-Attempt-Id")
-					s.mu.Lock()
-					s.runs = append(s.runs, attempt)
-					s.mu.Unlock()
-					if !respond(conn, attempt, number) {
-						return
-					}
-				}
+				handle(conn)
 			}()
 		}
 	}()
@@ -61,7 +69,6 @@
 	row := closed.Row(service, "domain-a", 8, "ready", 1)
 	row["address"] = listener.Addr().String()
 	d.store.Put("servers", id, row)
-	return s
 }
 
 // count returns the number of requests with an attempt id.
