--- /dev/null
+++ b/internal/adapter/httpclient/headscan.go
@@ -0,0 +1,58 @@
+package httpclient
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// headScanner follows the heads of responses as they arrive, because net/http hides some faults: it appends a line that
+// begins with a blank to the value of the field before it. RFC 9112 section 5.2 lets a gateway reject such responses. Its
+// zero value ignores all bytes.
+type headScanner struct {
+	// active is set from the begin of a request to the end of the head of its final response.
+	active  bool
+	lines   int // complete ones of the current head
+	interim bool
+	// start is the begin of the current line, and length the number of its bytes that have arrived.
+	start  [maxScannedLine]byte
+	length int
+	err    error
+}
+
+// maxScannedLine is how much of a line the scanner keeps.
+const maxScannedLine = 16
+
+// begin expects the response to a request that is about to be sent.
+func (s *headScanner) begin() { *s = headScanner{active: true} }
+
+// scan takes bytes that have been read. They end where the connection's reader has stopped, not with a line or a head.
+func (s *headScanner) scan(p []byte) {
+	for s.active && len(p) > 0 {
+		line, rest, ended := bytes.Cut(p, []byte{'\n'})
+		if s.length < len(s.start) {
+			copy(s.start[s.length:], line)
+		}
+		s.length += len(line)
+		p = rest
+		if ended {
+			s.endLine(bytes.TrimSuffix(s.start[:min(s.length, len(s.start))], []byte{'\r'}))
+			s.length = 0
+		}
+	}
+}
+
+// endLine takes the begin of a complete line.
+func (s *headScanner) endLine(line []byte) {
+	s.lines++
+	switch {
+	case s.lines == 1:
+		s.interim = bytes.HasPrefix(line, []byte("HTTP/1.1 1")) || bytes.HasPrefix(line, []byte("HTTP/1.0 1"))
+	case len(line) == 0 && s.interim:
+		s.lines = 0
+	case len(line) == 0:
+		s.active = false
+	case s.interim: // is not passed on
+	case line[0] == ' ' || line[0] == '\t':
+		s.err = fmt.Errorf("%w: line %d of the head begins with a blank", ErrInvalidResponse, s.lines)
+	}
+}
--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -205,7 +205,7 @@
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
 		out := &Response{resp, reused, current.Load()}
-		if err := CheckHead(resp); err != nil {
+		if err := errors.Join(CheckHead(resp), out.conn.headError()); err != nil {
 			out.Discard()
 			return nil, fmt.Errorf("%w: %w", backend.ErrInterrupted, err)
 		}
@@ -239,6 +239,7 @@
 	writeErr error      // of the first write that failed; guarded by writing
 
 	mu      sync.Mutex
+	head    headScanner
 	writes  uint64
 	sealed  bool
 	users   int  // may briefly be 2: the transport calls PutIdleConn after it has made the connection available again
@@ -267,6 +268,11 @@
 // response without a length. The system reports a broken connection once: if a write gets that error, reads return io.EOF.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.head.scan(p[:n])
+		c.mu.Unlock()
+	}
 	if err == io.EOF {
 		if broken := c.brokenWrite(); broken != nil {
 			return n, broken
@@ -275,6 +281,13 @@
 	return n, err
 }
 
+// headError returns what the head of the last response has shown besides what net/http returns.
+func (c *conn) headError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.err
+}
+
 // brokenWrite returns the error of a write that has found the connection broken. It must be called after a read has
 // returned io.EOF. A write in progress ends first, because it may be about to return that error.
 func (c *conn) brokenWrite() error {
@@ -305,6 +318,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.users++
+	c.head.begin()
 	c.sealed = c.sealed || c.retired
 	return c.writes
 }
--- a/internal/edge/invalidhead_test.go
+++ b/internal/edge/invalidhead_test.go
@@ -55,7 +55,8 @@
 	body := events(1, 2)
 	var ends []string
 	for _, line := range []string{"X Broken: 1", "X-Broken : 1", "Content-Length : 42", "Content Length: 42", "Transfer-Encoding : chunked",
-		"X\tBroken: 1", "X-Broken\t: 1", "X\x00Broken: 1", "X\x01: 1", "X\rBroken: 1", "X\x7f: 1", ": 1", "X-Broken"} {
+		"X\tBroken: 1", "X-Broken\t: 1", "X\x00Broken: 1", "X\x01: 1", "X\rBroken: 1", "X\x7f: 1", ": 1", "X-Broken",
+		" X-Broken: 1", "\tX-Broken: 1", " Content-Length: 42", " : 1", " ", "\t"} {
 		for _, lines := range []string{line + "\r\n", line + "\r\nX-Last: 1\r\n"} {
 			ends = append(ends, "Content-Type: text/event-stream\r\n"+lines+"\r\n"+body, lines+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
 		}
