--- a/internal/adapter/httpclient/headscan.go
+++ b/internal/adapter/httpclient/headscan.go
@@ -5,14 +5,18 @@
 	"fmt"
 )
 
-// headScanner follows the heads of responses as they arrive, because net/http hides some faults: it appends a line that
-// begins with a blank to the value of the field before it. RFC 9112 section 5.2 lets a gateway reject such responses. Its
-// zero value ignores all bytes.
+// headScanner follows the heads of responses as they arrive, because net/http hides some faults:
+//   - It appends a line that begins with a blank to the value of the field before it. RFC 9112 section 5.2 lets a gateway
+//     reject such responses.
+//   - It drops Transfer-Encoding in HTTP/1.0, which has no chunks. The framing is faulty then; see section 6.1.
+//
+// Its zero value ignores all bytes.
 type headScanner struct {
 	// active is set from the begin of a request to the end of the head of its final response.
 	active  bool
 	lines   int // complete ones of the current head
 	interim bool
+	old     bool // the version is HTTP/1.0
 	// start is the begin of the current line, and length the number of its bytes that have arrived.
 	start  [maxScannedLine]byte
 	length int
@@ -20,7 +24,9 @@
 }
 
 // maxScannedLine is how much of a line the scanner keeps.
-const maxScannedLine = 16
+const maxScannedLine = 24
+
+var transferEncoding = []byte("Transfer-Encoding:")
 
 // begin expects the response to a request that is about to be sent.
 func (s *headScanner) begin() { *s = headScanner{active: true} }
@@ -46,6 +52,7 @@
 	s.lines++
 	switch {
 	case s.lines == 1:
+		s.old = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 		s.interim = bytes.HasPrefix(line, []byte("HTTP/1.1 1")) || bytes.HasPrefix(line, []byte("HTTP/1.0 1"))
 	case len(line) == 0 && s.interim:
 		s.lines = 0
@@ -54,5 +61,7 @@
 	case s.interim: // is not passed on
 	case line[0] == ' ' || line[0] == '\t':
 		s.err = fmt.Errorf("%w: line %d of the head begins with a blank", ErrInvalidResponse, s.lines)
+	case s.old && len(line) >= len(transferEncoding) && bytes.EqualFold(line[:len(transferEncoding)], transferEncoding):
+		s.err = fmt.Errorf("%w: Transfer-Encoding in HTTP/1.0", ErrInvalidResponse)
 	}
 }
--- a/internal/adapter/httpclient/headscan_test.go
+++ b/internal/adapter/httpclient/headscan_test.go
@@ -6,8 +6,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a folded line that is missed because of how the bytes arrive, and against lines of interim responses or
-// of a body that are taken for folded ones.
+// Guards against a line that is missed because of how the bytes arrive, and against lines of interim responses or of a body
+// that are taken for lines of the head.
 func TestHeadScanner(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>,\r\n </b>\r\n\r\n"
 	for response, invalid := range map[string]bool{
@@ -16,6 +16,9 @@
 		interim + interim + "HTTP/1.1 200 OK\r\nX-A: a\r\n\r\n a\r\n b":          false,
 		interim + "HTTP/1.1 200 OK\r\nX-A: a\r\n b\r\n\r\n":                      true,
 		"HTTP/1.1 200 OK\r\nX-A: a\r\nX-Long-Field-Name: b\r\n\tc\r\n\r\nbody":   true,
+		"HTTP/1.0 200 OK\r\nX-A: a\r\n\r\nTransfer-Encoding: chunked\r\n":        false,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                  false,
+		"HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\n\r\n":                   true,
 		"HTTP/1.1 200 OK\nX-A: a\n \n\n":                                         true,
 		"HTTP/1.1 200 OK\r\nX-A: a\r\n\t\r\n\r\n":                                true,
 	} {
--- a/internal/edge/invalidhead_test.go
+++ b/internal/edge/invalidhead_test.go
@@ -65,3 +65,18 @@
 		assert.Check(t, got.status == http.StatusBadGateway, "%q, %q: %d %q %v", start, end, got.status, got.body, got.header)
 	})
 }
+
+// Guards against chunk sizes that are passed on as part of a body: HTTP/1.0 has no chunks, so it is unknown whether the body
+// has any.
+func TestChunksOfOlderProtocolAreNotPassedOn(t *testing.T) {
+	body := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(events(1, 2)), events(1, 2))
+	var ends []string
+	for _, line := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: identity", "Transfer-Encoding:"} {
+		for _, length := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", len(body))} {
+			ends = append(ends, line+"\r\n"+length+"\r\n"+body)
+		}
+	}
+	respondWith(t, []string{"HTTP/1.0 200 OK", "HTTP/1.0 404 Not Found"}, ends, func(t *testing.T, start, end string, got reply) {
+		assert.Check(t, got.status == http.StatusBadGateway, "%q, %q: %d %q", start, end, got.status, got.body)
+	})
+}
