--- a/internal/callerguard/guard.go
+++ b/internal/callerguard/guard.go
@@ -323,6 +323,15 @@
 	}
 }
 
+// SetLinger says how long Close sends what is left, in seconds; 0 resets the connection. It does nothing on connections
+// without this option.
+func (c *conn) SetLinger(seconds int) error {
+	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return lingerer.SetLinger(seconds)
+	}
+	return nil
+}
+
 // CloseWrite closes the writing side, which net/http does after an error response.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/edge/cut_test.go
+++ b/internal/edge/cut_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -61,3 +63,31 @@
 		}
 	}
 }
+
+// Guards against an answer that looks whole to a caller that uses HTTP/1.0, to which the end of the connection is the end of
+// an answer without a length, although the server broke off.
+func TestCutAnswersDoNotLookWholeToOlderCallers(t *testing.T) {
+	part := events(1, 50000) // more than a node keeps, so that the caller gets the head
+	for kind, service := range map[string]string{"book": "desk", "draft": "engine"} {
+		for name, head := range map[string]string{"no length": "\r\n", "chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", 2*len(part))} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				d.configure()
+				d.script(service+"-1", service, func(conn net.Conn, attempt string, _ int) bool {
+					write(conn, signed(attempt)+head+part)
+					time.Sleep(50 * time.Millisecond)
+					reset(conn)
+					return false
+				})
+				conn, err := net.Dial("tcp4", d.node().settings.CallerAddr)
+				assert.NilError(t, err)
+				defer conn.Close()
+				write(conn, "POST /"+kind+"/1 HTTP/1.0\r\nHost: "+host+"\r\nPollenlug-Attempt-Id: older\r\nContent-Length: 0\r\n\r\n")
+				got, err := io.ReadAll(conn)
+				assert.Assert(t, strings.Contains(string(got), "piece 1"), "%d bytes", len(got))
+				assert.Assert(t, err != nil, "complete with %d bytes", len(got))
+			})
+		}
+	}
+}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -376,6 +376,12 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok && !req.http.ProtoAtLeast(1, 1) {
+		// HTTP/1.0 has no chunks: the end of the connection completes a response without a length, a reset does not.
+		if err := lingerer.SetLinger(0); err != nil {
+			n.log.WithError(err).Debug("resetting caller connection failed")
+		}
+	}
 	if err := conn.Close(); err != nil {
 		n.log.WithError(err).Debug("closing caller connection failed")
 	}
