--- a/internal/adapter/httpclient/headscan.go
+++ b/internal/adapter/httpclient/headscan.go
@@ -28,8 +28,9 @@
 
 var transferEncoding = []byte("Transfer-Encoding:")
 
-// begin expects the response to a request that is about to be sent.
-func (s *headScanner) begin() { *s = headScanner{active: true} }
+// begin expects the response to a request that is about to be sent. It keeps an earlier error: net/http may pass the
+// connection on before the request that has met the error looks at it.
+func (s *headScanner) begin() { *s = headScanner{active: true, err: s.err} }
 
 // scan takes bytes that have been read. They end where the connection's reader has stopped, not with a line or a head.
 func (s *headScanner) scan(p []byte) {
--- a/internal/adapter/httpclient/headscan_test.go
+++ b/internal/adapter/httpclient/headscan_test.go
@@ -31,6 +31,8 @@
 			}
 			assert.Equal(t, s.err != nil, invalid, "%q in pieces of %d: %v", response, size, s.err)
 			assert.Assert(t, !s.active)
+			s.begin() // by the next request
+			assert.Equal(t, s.err != nil, invalid)
 		}
 	}
 }
--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -281,7 +281,7 @@
 	return n, err
 }
 
-// headError returns what the head of the last response has shown besides what net/http returns.
+// headError returns the fault that net/http hides in the head of a response on this connection.
 func (c *conn) headError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
