--- a/internal/adapter/httpclient/head_test.go
+++ b/internal/adapter/httpclient/head_test.go
@@ -38,7 +38,7 @@
 	return resp, err
 }
 
-// Guards against a response of which any adapter takes an invalid status for one of the backend server.
+// Guards against an invalid status that the adapters take for that of a server.
 func TestInvalidStatusIsAnError(t *testing.T) {
 	for status := range 1000 {
 		resp, err := exchange(t, fmt.Sprintf("HTTP/1.1 %03d Text\r\nContent-Length: 0\r\n\r\n", status))
--- a/internal/adapter/httpclient/headscan.go
+++ b/internal/adapter/httpclient/headscan.go
@@ -12,18 +12,18 @@
 //
 // Its zero value ignores all bytes.
 type headScanner struct {
-	// active is set from the begin of a request to the end of the head of its final response.
+	// active is set from the start of a request to the end of the head of its final response.
 	active  bool
 	lines   int // complete ones of the current head
 	interim bool
 	old     bool // the version is HTTP/1.0
-	// start is the begin of the current line, and length the number of its bytes that have arrived.
+	// start holds the first bytes of the current line, of which length bytes have arrived.
 	start  [maxScannedLine]byte
 	length int
-	err    error
+	err    error // the last fault
 }
 
-// maxScannedLine is how much of a line the scanner keeps.
+// maxScannedLine is how much of a line the scanner keeps, in bytes.
 const maxScannedLine = 24
 
 var transferEncoding = []byte("Transfer-Encoding:")
@@ -32,7 +32,7 @@
 // connection on before the request that has met the error looks at it.
 func (s *headScanner) begin() { *s = headScanner{active: true, err: s.err} }
 
-// scan takes bytes that have been read. They end where the connection's reader has stopped, not with a line or a head.
+// scan takes bytes that have been read, which may end within a line.
 func (s *headScanner) scan(p []byte) {
 	for s.active && len(p) > 0 {
 		line, rest, ended := bytes.Cut(p, []byte{'\n'})
@@ -48,7 +48,7 @@
 	}
 }
 
-// endLine takes the begin of a complete line.
+// endLine takes the first bytes of a complete line, without its end.
 func (s *headScanner) endLine(line []byte) {
 	s.lines++
 	switch {
--- a/internal/adapter/httpclient/httpclient.go
+++ b/internal/adapter/httpclient/httpclient.go
@@ -134,13 +134,13 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// ErrInvalidResponse means that a response is none that HTTP/1 allows.
+// ErrInvalidResponse means that the head of a response is not valid in HTTP/1 although net/http accepts it.
 var ErrInvalidResponse = errors.New("httpclient: invalid response")
 
 // maxStatus is the highest status that a response may have; see RFC 9110 section 15.
 const maxStatus = 599
 
-// CheckHead returns ErrInvalidResponse if net/http has accepted the head of a final response that is not valid in HTTP/1.
+// CheckHead returns ErrInvalidResponse if the parsed head of a final response is not valid.
 func CheckHead(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %q", ErrInvalidResponse, resp.Proto)
@@ -297,11 +297,11 @@
 		c.writing.Lock()
 	}
 	defer c.writing.Unlock()
-	switch {
-	case errors.Is(c.writeErr, os.ErrDeadlineExceeded):
+	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	if errors.Is(c.writeErr, syscall.EPIPE) { // the server had ended its side before it closed the connection
 		return nil
-	case errors.Is(c.writeErr, syscall.EPIPE):
-		return nil // the server had ended its side before it closed the connection
 	}
 	return c.writeErr
 }
