--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -209,8 +209,20 @@
 
 var attempts atomic.Int64
 
-// do sends a request to a node on a new connection.
+// do sends a request to a node on a new connection and reads the response.
 func (n *runningNode) do(t *testing.T, c call) reply {
+	t.Helper()
+	resp, err := n.send(t, c)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// send sends a request to a node on a new connection and returns the response when its head has arrived.
+func (n *runningNode) send(t *testing.T, c call) (*http.Response, error) {
 	t.Helper()
 	if c.ctx == nil {
 		c.ctx = context.Background()
@@ -228,13 +240,7 @@
 		req.Header.Set(name, value)
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	return client.Do(req)
 }
 
 // eventually waits until a condition holds.
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -236,9 +237,16 @@
 	s := d.serve("engine-1", "engine", 100)
 	s.SetBehavior(always(standin.Behavior{Gap: 50 * time.Millisecond}))
 	n := d.node()
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	n.do(t, call{path: "/quote/1", ctx: ctx})
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	resp, err := n.send(t, call{path: "/quote/1", ctx: ctx})
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	first := make([]byte, len(events(1, 1)))
+	_, err = io.ReadFull(resp.Body, first)
+	assert.NilError(t, err)
+	assert.Equal(t, string(first), events(1, 1))
+	leave()
 	eventually(t, 500*time.Millisecond, "the server still works", func() bool {
 		runs := s.Runs()
 		return len(runs) == 1 && !runs[0].Left.IsZero()
