--- a/internal/edge/cut_test.go
+++ b/internal/edge/cut_test.go
@@ -1,13 +1,13 @@
 package edge_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -74,9 +74,10 @@
 				t.Parallel()
 				d := newDeployment(t)
 				d.configure()
+				delivered := make(chan struct{})
 				d.script(service+"-1", service, func(conn net.Conn, attempt string, _ int) bool {
 					write(conn, signed(attempt)+head+part)
-					time.Sleep(50 * time.Millisecond)
+					<-delivered
 					reset(conn)
 					return false
 				})
@@ -84,9 +85,14 @@
 				assert.NilError(t, err)
 				defer conn.Close()
 				write(conn, "POST /"+kind+"/1 HTTP/1.0\r\nHost: "+host+"\r\nPollenlug-Attempt-Id: older\r\nContent-Length: 0\r\n\r\n")
-				got, err := io.ReadAll(conn)
-				assert.Assert(t, strings.Contains(string(got), "piece 1"), "%d bytes", len(got))
-				assert.Assert(t, err != nil, "complete with %d bytes", len(got))
+				reader := bufio.NewReader(conn)
+				for line := ""; !strings.Contains(line, "piece 1"); {
+					line, err = reader.ReadString('\n')
+					assert.NilError(t, err)
+				}
+				close(delivered)
+				got, err := io.ReadAll(reader)
+				assert.Assert(t, err != nil, "complete with %d more bytes", len(got))
 			})
 		}
 	}
