--- a/internal/edge/finalusage.go
+++ b/internal/edge/finalusage.go
@@ -48,10 +48,16 @@
 	}
 }
 
+// committer commits mutations: the store, or a lease, which adds the condition that its holder is the newest one.
+type committer interface {
+	Commit(ctx context.Context, mutations []platform.Mutation) ([]uint64, error)
+}
+
 // get returns the final counts of a window: those made final before, or else those given, which become final.
+// They do so under the lease, because the row may be absent only since the store has returned from a copy.
 // mayBeReported is set if a holder may have reported the window before the store returned from a copy: then nothing
 // becomes final, and the error is errReportUnknown if no final counts are found.
-func (f *finalUsage) get(ctx context.Context, number int64, counts map[string]int64, mayBeReported bool) (map[string]int64, error) {
+func (f *finalUsage) get(ctx context.Context, lease committer, number int64, counts map[string]int64, mayBeReported bool) (map[string]int64, error) {
 	if known := f.known(number); known != nil {
 		return known, nil
 	}
@@ -62,7 +68,7 @@
 		}
 		return stored, err
 	}
-	err := f.write(ctx, number, counts)
+	err := f.write(ctx, lease, number, counts)
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
@@ -87,7 +93,7 @@
 		if number <= current-usageKeptWindows {
 			continue
 		}
-		err := f.write(ctx, number, counts)
+		err := f.write(ctx, f.store, number, counts)
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
@@ -100,13 +106,13 @@
 	return written
 }
 
-func (f *finalUsage) write(ctx context.Context, number int64, counts map[string]int64) error {
+func (f *finalUsage) write(ctx context.Context, to committer, number int64, counts map[string]int64) error {
 	value, err := proto.Marshal(&pb.FrozenUsage{Counts: counts})
 	if err != nil {
 		return err
 	}
 	row := platform.Mutation{Table: usageTable, Key: f.key(number), Value: value, If: platform.Condition{Kind: platform.Absent}}
-	_, err = f.store.Commit(ctx, []platform.Mutation{row})
+	_, err = to.Commit(ctx, []platform.Mutation{row})
 	return err
 }
 
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -49,6 +49,8 @@
 	logOutput io.Writer // replaces logs
 	// rollout enables rollouts of versions.
 	rollout rollout.Bounds
+	// usageWindow is the length of a usage window. A window is reported for three times as long.
+	usageWindow time.Duration
 	// callerLimits are the configured limits on what callers send.
 	callerLimits map[string]any
 }
@@ -83,7 +85,7 @@
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, store: standin.NewStore(), duties: &standin.Duties{}, grace: 500 * time.Millisecond, retrySlack: 50, memory: 256 << 20, maxConns: 50,
+	d := &deployment{t: t, store: standin.NewStore(), duties: &standin.Duties{}, grace: 500 * time.Millisecond, retrySlack: 50, memory: 256 << 20, maxConns: 50, usageWindow: time.Second,
 		callerLimits: map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 	storeServer, dutyServer := standin.Listen(d.store), standin.Listen(d.duties)
 	t.Cleanup(storeServer.Close)
@@ -144,7 +146,7 @@
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], DirectoryAddr: addrs[2], ControlAddr: addrs[3], PeerAddr: addrs[4], MetricsAddr: addrs[5],
 		MemoryBytes: d.memory, Descriptors: 1000, Cores: 1, HeartbeatInterval: 500 * time.Millisecond, DrainBound: 2 * time.Second,
 		Grace: d.grace, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: d.retrySlack, LeaseDuration: time.Second,
-		UsageWindow: time.Second, UsageDelay: 3 * time.Second, DirectoryTTL: 5 * time.Second, StoreAddr: d.storeAddr, CloudAddr: d.dutyAddr,
+		UsageWindow: d.usageWindow, UsageDelay: 3 * d.usageWindow, DirectoryTTL: 5 * time.Second, StoreAddr: d.storeAddr, CloudAddr: d.dutyAddr,
 		Rollout: d.rollout}
 	assert.NilError(d.t, s.Check())
 	logger := settings.Logger("info")
--- a/internal/edge/storereturn.go
+++ b/internal/edge/storereturn.go
@@ -55,11 +55,12 @@
 	at          time.Time
 }
 
-// lastReturn returns when the current era began, or the zero time if it is the first one that the deployment has seen.
-func (r *storeReturn) lastReturn() time.Time {
+// lastReturn returns the era that this node has noticed and when it began, or the zero time if it is the first one that
+// the deployment has seen.
+func (r *storeReturn) lastReturn() (at time.Time, era uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.at
+	return r.at, r.era
 }
 
 // awaitSettled waits, in a node that starts shortly after a return, until the rows can be trusted. It reports whether it
--- a/internal/edge/storereturn_test.go
+++ b/internal/edge/storereturn_test.go
@@ -289,6 +289,49 @@
 	}
 }
 
+// Guards against a usage window that a new holder, which knows a part of its counts, reports again because the store returns
+// from a copy without the row of the final counts right before the new holder writes it.
+func TestReportedUsageStaysTheSameWhenTheStoreReturnsDuringAHandOver(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.usageWindow = 2 * time.Second
+	d.tenants = []map[string]any{{"name": "guild", "api_keys": []string{"key-1"}}}
+	d.configure()
+	d.serve("desk-1", "desk", 0)
+	holder, restarted := d.node(), d.node()
+	eventually(t, 2*time.Second, "the nodes do not know each other", func() bool { return len(directory(t, restarted)) == 2 })
+	d.copyStore()
+	time.Sleep(time.Until(time.Now().Truncate(d.usageWindow).Add(d.usageWindow)))
+	for range 5 {
+		assert.DeepEqual(t, holder.statuses(t, 1, withKey("key-1")), map[int]int{200: 1})
+		assert.DeepEqual(t, restarted.statuses(t, 1, withKey("key-1")), map[int]int{200: 1})
+	}
+	time.Sleep(600 * time.Millisecond) // until the heartbeats have taken the counts to the holder
+	restarted.stop()
+	<-restarted.done
+	successor := d.node()
+	eventually(t, 4*time.Second, "nothing is reported", func() bool { return len(usageCalls(d)) > 0 })
+	d.store.BeforeWrite("usage", d.store.ReturnFromCopy)
+	holder.stop()
+	<-holder.done
+	eventually(t, 4*time.Second, "the successor writes no counts", func() bool { return d.store.Era() == 1 })
+	terms := func() (count int) {
+		for _, line := range d.logs.read(t).Lines {
+			if line.Node == successor.settings.Node && line.Message == logline.DutiesAcquired {
+				count++
+			}
+		}
+		return count
+	}
+	eventually(t, 6*time.Second, "the successor does not hold the duties in the new era", func() bool { return terms() == 2 })
+	time.Sleep(time.Second)
+	first := usageCalls(d)[0]
+	assert.DeepEqual(t, first.Counts, map[string]int64{"guild": 10})
+	for _, c := range usageCalls(d) {
+		assert.Assert(t, c.Window != first.Window || maps.Equal(c.Counts, first.Counts), "%v and %v", first, c)
+	}
+}
+
 // Guards against a return that the log does not explain, and nodes that a starting one cannot discover because the store
 // has forgotten their rows.
 func TestNodeRowsAreWrittenAgainAndLogged(t *testing.T) {
--- a/internal/edge/usagereport.go
+++ b/internal/edge/usagereport.go
@@ -10,6 +10,10 @@
 	"github.com/pollenlug/pollenlug/internal/logline"
 )
 
+// errReturnNotNoticed means that this node has not yet handled a return of the store, or that its lease is of an earlier
+// era.
+var errReturnNotNoticed = errors.New("the last return of the store is not known yet")
+
 // reportUsage reports the final usage windows that have not been reported in this term.
 func (h *dutyHolder) reportUsage(ctx context.Context, now time.Time) {
 	u := h.n.usage
@@ -54,8 +58,12 @@
 	if len(counts) == 0 {
 		return nil, nil
 	}
-	mayBeReported := h.n.usage.WindowEnd(number).Add(usageSettleTime).Before(h.n.storeReturn.lastReturn())
-	counts, err := h.n.finalUsage.get(ctx, number, counts, mayBeReported)
+	returnedAt, era := h.n.storeReturn.lastReturn()
+	if era != h.held.Era() {
+		return nil, errReturnNotNoticed
+	}
+	mayBeReported := h.n.usage.WindowEnd(number).Add(usageSettleTime).Before(returnedAt)
+	counts, err := h.n.finalUsage.get(ctx, h.held, number, counts, mayBeReported)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -15,6 +15,10 @@
 // A fencing token is the pair of the era and a counter in the row. It rises over eras because the store's era does, even
 // if all nodes have been started again and know nothing of earlier tokens.
 //
+// A row that only one holder may ever write, under the condition that it is absent, needs more: a return of the store also
+// removes what an earlier holder wrote. Held.Commit therefore adds the condition that the lease row is the one that this
+// holder wrote last. In a copy from before that write it fails; a later copy has all that earlier holders wrote.
+//
 // The holder calls Held.Check right before each order and bounds each order by Options.MaxOrderTime. The holder also
 // measures time by its wall clock, since the monotonic clock may stop while a virtual machine is suspended.
 //
@@ -26,6 +30,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -300,12 +305,40 @@
 	mu       sync.Mutex
 	valid    validity
 	released bool
-
-	// version and renewal are owned by the goroutine of renewLoop until done is closed.
+	// version is that of the row as last written. Only the goroutine of renewLoop writes it.
 	version uint64
+
+	// renewal is owned by the goroutine of renewLoop until done is closed.
 	renewal uint64
 }
 
+// ErrRowChanged means that the row of a lease is not the one that its holder has last seen confirmed: a renewal is in
+// flight, another holder has written it, or the store has returned from a copy.
+var ErrRowChanged = errors.New("lease: the row of the lease has changed")
+
+// Era returns the era of the store in which the lease is held.
+func (h *Held) Era() uint64 { return h.era }
+
+// Commit commits mutations that take effect only if no other holder has written the lease since, and only if the store
+// still has all that earlier holders have written. It returns ErrRowChanged if that is not so, which a renewal at the
+// same time may also cause: if the lease is still held then, the call may be repeated. Other errors are those of
+// platform.Table.
+func (h *Held) Commit(ctx context.Context, mutations []platform.Mutation) ([]uint64, error) {
+	h.mu.Lock()
+	version := h.version
+	h.mu.Unlock()
+	held := platform.Mutation{Table: TableName, Key: h.key, CheckOnly: true, If: platform.Condition{Kind: platform.VersionIs, Version: version}}
+	versions, err := h.l.o.Table.Commit(ctx, append(slices.Clone(mutations), held))
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) && slices.Contains(conflict.Failed, len(mutations)) {
+		return nil, ErrRowChanged
+	}
+	if err != nil {
+		return nil, err
+	}
+	return versions[:len(mutations)], nil
+}
+
 // Check reports whether the lease is valid now. Call it right before each order and send the fencing token with the
 // order.
 func (h *Held) Check() (fencing uint64, ok bool) {
@@ -395,10 +428,10 @@
 
 // extend restarts the lease's period at the time before the confirmed write was sent.
 func (h *Held) extend(version uint64, start time.Time) bool {
-	h.version = version
 	h.renewal++
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.version = version
 	h.valid.start = start
 	return true
 }
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -204,6 +205,31 @@
 	})
 }
 
+// Guards against a write of a row that is absent only because the store has lost what an earlier holder wrote, and against
+// one of a holder that has a successor.
+func TestCommitNeedsTheRowOfTheLease(t *testing.T) {
+	write := func(t *testing.T, h *Held, key string) error {
+		_, err := h.Commit(t.Context(), []platform.Mutation{{Table: "final", Key: key, Value: []byte("1"), If: platform.Condition{Kind: platform.Absent}}})
+		return err
+	}
+	synctest.Test(t, func(t *testing.T) {
+		tab := table.New(table.Options{})
+		a, store := node(tab, "a")
+		b, _ := node(tab, "b")
+		first := acquire(t, a)
+		assert.NilError(t, write(t, first, "k"))
+		var conflict *platform.ConflictError
+		assert.Assert(t, errors.As(write(t, first, "k"), &conflict))
+		store.pause(time.Minute) // with a renewal under way
+		next := acquire(t, b)
+		assert.NilError(t, write(t, next, "other"))
+		assert.ErrorIs(t, write(t, first, "late"), ErrRowChanged)
+		time.Sleep(10 * time.Second) // less than since the lease was acquired
+		tab.ReturnFromCopy(time.Minute)
+		assert.ErrorIs(t, write(t, next, "other"), ErrRowChanged)
+	})
+}
+
 // scheduleStep sets the store faults of one node, pauses it or makes the store return from a copy, and then lets time
 // pass.
 type scheduleStep struct {
