--- a/internal/edge/cost.go
+++ b/internal/edge/cost.go
@@ -15,15 +15,15 @@
 		Exclude: req.triedServers, Allowed: n.outliers.Allow}
 }
 
-// engineRequest describes a request for the selection of an engine.
-func engineRequest(req *request, choice placement.Choice) placement.EngineRequest {
+// engineRequest describes a request for the selection of an engine. resumed is set if another server may have run it before.
+func engineRequest(req *request, choice placement.Choice, resumed bool) placement.EngineRequest {
 	workspace := ""
 	if req.workspace != nil {
 		workspace = req.workspace.Name
 	}
 	return placement.EngineRequest{Choice: choice, Prompt: req.Prompt, PromptTokens: max(req.PromptTokens, 0),
 		Output:  cost.Output{Route: req.route.Name, Workspace: workspace, Hint: max(req.ExpectedOutput, 0), Limit: max(req.OutputTokens, 0)},
-		Resumed: req.ResumeAfter != "" || req.sends > 0, CacheTokens: req.service.Engine.CacheTokens}
+		Resumed: resumed, CacheTokens: req.service.Engine.CacheTokens}
 }
 
 // countEvents returns the number of complete events in a block of them.
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -66,30 +66,24 @@
 
 // sendPlain sends a request of a non-streaming route to a server and passes the response to the caller.
 func (n *Node) sendPlain(ctx context.Context, req *request, ticket *placement.Ticket) sendResult {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := n.startStallTimer(req, ticket, cancel)
-	defer timer.stop()
-	out, err := n.outbound(ctx, req, ticket, req.ResumeAfter)
-	if err != nil {
-		return sendResult{status: notSent, reason: "invalid_request"}
-	}
-	resp, err := n.client.Exchange(out)
-	if err != nil {
-		return classify(ctx, err)
-	}
-	if result, done := n.checkReply(req, resp, ticket); done {
+	sent, resp, result := n.startSend(ctx, req, ticket, req.ResumeAfter)
+	defer sent.end()
+	if resp == nil {
 		return result
 	}
 	response, err := n.readResponse(req, resp)
 	if err != nil {
 		closeBody(resp)
-		if ctx.Err() != nil {
-			return classify(ctx, err)
+		if sent.ctx.Err() != nil {
+			return classify(sent.ctx, err)
 		}
 		return sendResult{status: responseLost, reason: "answer_cut", connLost: true}
 	}
-	timer.stop()
+	if !sent.timer.heard() && response.rest != nil {
+		closeBody(resp) // its rest will not be read; another server answers
+		req.kept.release(response.reserved)
+		return classify(sent.ctx, errStalled)
+	}
 	if resp.StatusCode < http.StatusInternalServerError { // a fast failure says nothing about how long answers take
 		n.forecasts.Record(req.service.Name, ticket.Expected, time.Since(req.sentAt), time.Now())
 	}
@@ -100,7 +94,7 @@
 		}
 	}
 	n.countUsage(req)
-	connLost := n.writeResponse(req, response) && ctx.Err() == nil
+	connLost := n.writeResponse(req, response) && sent.ctx.Err() == nil
 	if req.outcome == "" {
 		req.outcome = logline.Served
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -68,7 +68,7 @@
 	connRefused, connLost bool
 	// unsent is set if the send was canceled before a byte of the request left this node.
 	unsent bool
-	// retryReserved is set if a retry has already been taken from the budget.
+	// retryReserved is set if a retry has already been taken from the budget, for a takeover.
 	retryReserved bool
 }
 
@@ -97,15 +97,28 @@
 // allowed.
 func (n *Node) sendUntilDelivered(ctx context.Context, req *request) *code.Error {
 	stream := &streamRelay{n: n, req: req}
+	defer func() {
+		if req.takeover != nil {
+			req.takeover.end(n, true)
+		}
+	}()
 	var failedResponse *bufferedResponse
 	for {
-		ticket, run, refusal := n.startRun(ctx, req)
-		if refusal != nil {
-			return n.giveUp(req, stream, failedResponse, refusal)
+		var ticket *placement.Ticket
+		var run *strike.Run
+		if t := req.takeover; t != nil {
+			ticket, run, req.sentAt = t.ticket, t.run, t.sentAt
+		} else {
+			var refusal *code.Error
+			if ticket, run, refusal = n.startRun(ctx, req); refusal != nil {
+				return n.giveUp(req, stream, failedResponse, refusal)
+			}
+			req.triedServers = append(req.triedServers, ticket.Server.ID)
+			req.sentAt = time.Now()
 		}
-		req.triedServers = append(req.triedServers, ticket.Server.ID)
-		req.expected, req.sentAt, req.prefill = ticket.Expected, time.Now(), ticket.Prefill()
+		req.expected, req.prefill = ticket.Expected, ticket.Prefill()
 		result := n.sendTo(ctx, req, stream, ticket, run)
+		result.retryReserved = req.takeover != nil
 		if result.status == delivered {
 			return nil
 		}
@@ -171,18 +184,7 @@
 // latency target and the deadline can be met.
 func (n *Node) pickServer(req *request) (*placement.Ticket, *code.Error) {
 	now := time.Now()
-	choice := n.choice(req)
-	var ticket *placement.Ticket
-	for _, choice.Eligible = range n.rollouts.choices(req, now) {
-		if req.service.Engine == nil {
-			ticket = n.board.PickPlain(choice, now)
-		} else {
-			ticket = n.board.PickEngine(engineRequest(req, choice), now)
-		}
-		if ticket != nil {
-			break
-		}
-	}
+	ticket := n.pickOf(req, n.choice(req), n.rollouts.choices(req, now), req.ResumeAfter != "" || req.sends > 0, now)
 	if req.service.Engine == nil && req.sends == 0 {
 		n.demand.add(req.service.Name, 0, 0, now)
 	}
@@ -203,6 +205,21 @@
 	return ticket, nil
 }
 
+// pickOf chooses a server that meets the first of the filters that any server meets. It returns nil if there is none.
+func (n *Node) pickOf(req *request, choice placement.Choice, filters []filter, resumed bool, now time.Time) (ticket *placement.Ticket) {
+	for _, choice.Eligible = range filters {
+		if req.service.Engine == nil {
+			ticket = n.board.PickPlain(choice, now)
+		} else {
+			ticket = n.board.PickEngine(engineRequest(req, choice, resumed), now)
+		}
+		if ticket != nil {
+			break
+		}
+	}
+	return ticket
+}
+
 // expectedOutput is the estimated number of output tokens.
 func (req *request) expectedOutput() int {
 	if req.ExpectedOutput > 0 && req.ExpectedOutput < req.OutputTokens {
@@ -211,7 +228,7 @@
 	return req.OutputTokens
 }
 
-// sendTo sends a request to one server and reports the outcome to the load, outlier and crash tracking.
+// sendTo sends a request to one server and reports the outcome to those who learn from it.
 func (n *Node) sendTo(ctx context.Context, req *request, stream *streamRelay, ticket *placement.Ticket, run *strike.Run) sendResult {
 	var result sendResult
 	req.versionAttempt = n.rollouts.begin(req, ticket.Server, time.Now())
@@ -223,16 +240,26 @@
 	result.ticket = ticket
 	now := time.Now()
 	n.rollouts.end(ctx, req.versionAttempt, result, now)
+	req.logDigest = req.logDigest || result.status == responseLost || result.status == delivered && result.connLost
+	n.endRun(result, run, now)
+	if result.status == delivered && !result.connLost {
+		n.observeCost(req, ticket)
+	}
+	return result
+}
+
+// endRun reports the outcome of a send to the load, outlier and crash tracking.
+func (n *Node) endRun(result sendResult, run *strike.Run, now time.Time) {
+	ticket := result.ticket
 	switch result.status {
 	case delivered:
 		if result.connLost {
-			n.recordInterruption(req, result, run, now)
+			n.recordInterruption(result, run, now)
 			break
 		}
 		ticket.End(placement.Served, now)
 		n.outliers.Observe(ticket.Server.ID, true)
 		run.End(runOutcome(result), now)
-		n.observeCost(req, ticket)
 	case notRun:
 		ticket.End(placement.Refused, now)
 		run.End(strike.Abandoned, now)
@@ -241,7 +268,7 @@
 		n.outliers.Observe(ticket.Server.ID, false)
 		run.End(runOutcome(result), now)
 	case responseLost:
-		n.recordInterruption(req, result, run, now)
+		n.recordInterruption(result, run, now)
 	case notSent:
 		ticket.End(placement.Failed, now)
 		n.outliers.Observe(ticket.Server.ID, false)
@@ -258,12 +285,10 @@
 			run.End(strike.Disconnected, now)
 		}
 	}
-	return result
 }
 
 // recordInterruption records a run that the server did not answer completely.
-func (n *Node) recordInterruption(req *request, result sendResult, run *strike.Run, now time.Time) {
-	req.logDigest = true
+func (n *Node) recordInterruption(result sendResult, run *strike.Run, now time.Time) {
 	result.ticket.End(placement.Failed, now)
 	n.outliers.Observe(result.ticket.Server.ID, false)
 	if result.reason == reasonStalled {
@@ -400,7 +425,7 @@
 func classify(ctx context.Context, err error) sendResult {
 	switch {
 	case context.Cause(ctx) == errStalled:
-		return sendResult{status: responseLost, reason: reasonStalled, retryReserved: true}
+		return sendResult{status: responseLost, reason: reasonStalled}
 	case ctx.Err() != nil:
 		return sendResult{status: canceled, reason: "stopped", unsent: errors.Is(err, backend.ErrUnreachable)}
 	case errors.Is(err, backend.ErrUnreachable):
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -199,6 +199,80 @@
 	assert.Equal(t, len(good.Runs()), 6)
 }
 
+// Guards against leaving a server that is silent for a while for one that refuses the request, so that nobody answers it.
+func TestSilentServerIsKeptWhileOthersAreFull(t *testing.T) {
+	for path, service := range map[string]string{"/quote/1": "engine", "/look/1": "desk"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.configure()
+			pieces, body := 0, "answer of "
+			if service == "engine" {
+				pieces, body = 2, events(1, 2)
+			}
+			// The server that gets the request first is slow, the other one is full.
+			var warm atomic.Bool
+			var first atomic.Pointer[string]
+			for _, id := range []string{service + "-1", service + "-2"} {
+				d.serve(id, service, pieces).SetBehavior(func(*http.Request) standin.Behavior {
+					if !warm.Load() {
+						return standin.Behavior{}
+					}
+					first.CompareAndSwap(nil, &id)
+					return standin.Behavior{Gap: 1700 * time.Millisecond, Reject: *first.Load() != id}
+				})
+			}
+			n := d.node()
+			assert.DeepEqual(t, n.statuses(t, 20, call{method: http.MethodGet, path: path}), map[int]int{200: 20})
+			warm.Store(true)
+			got := n.do(t, call{method: http.MethodGet, path: path})
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Assert(t, strings.HasPrefix(got.body, body), got.body)
+		})
+	}
+}
+
+// Guards against two servers that work on one stream for long: one that has been silent is left soon after another one has
+// taken the request, also if that sends nothing for a while.
+func TestSilentServerIsLeftForOneThatTakesTheRequest(t *testing.T) {
+	t.Parallel()
+	const overlap = 400 * time.Millisecond
+	d := newDeployment(t)
+	d.configure()
+	var servers []*standin.Server
+	var begun atomic.Int32
+	for _, id := range []string{"engine-1", "engine-2"} {
+		s := d.serve(id, "engine", 4)
+		s.SetBehavior(func(*http.Request) standin.Behavior {
+			if begun.Add(1) == 1 {
+				return standin.Behavior{StallAfter: 2}
+			}
+			return standin.Behavior{Gap: overlap}
+		})
+		servers = append(servers, s)
+	}
+	n := d.node()
+	got := n.do(t, call{path: "/quote/1"})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, events(1, 4))
+	silent, next := servers[0].Runs(), servers[1].Runs()
+	assert.Assert(t, len(silent) == 1 && len(next) == 1)
+	if next[0].At.Before(silent[0].At) {
+		silent, next = next, silent
+	}
+	assert.Equal(t, next[0].Header.Get("Last-Event-Id"), "2")
+	eventually(t, time.Second, "the silent server has not been left", func() bool {
+		runs := append(servers[0].Runs(), servers[1].Runs()...)
+		return !runs[0].Left.IsZero() || !runs[1].Left.IsZero()
+	})
+	for _, s := range servers {
+		if run := s.Runs()[0]; run.At.Equal(silent[0].At) {
+			assert.Assert(t, run.Left.Sub(next[0].At) < overlap, "left %v after the other server began", run.Left.Sub(next[0].At))
+		}
+	}
+}
+
 // Guards against cutting off a stalled stream when the retry budget is exhausted: its server may still continue.
 func TestStalledStreamWaitsWhenRetryBudgetIsExhausted(t *testing.T) {
 	t.Parallel()
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -62,8 +62,10 @@
 	mayHaveRun   bool
 	usageCounted bool // the request has been counted as usage
 	triedServers []string
-	outcome      string
-	reason       string
+	// takeover is a send to another server that began during the last send and with which the request goes on.
+	takeover *takeover
+	outcome  string
+	reason   string
 	// expected is the estimated time to the first event on the last server. firstEvent is the measured time, counted
 	// from sentAt.
 	expected   time.Duration
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -5,27 +5,17 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/placement"
-	"github.com/pollenlug/pollenlug/pkg/stall"
 	"github.com/pollenlug/pollenlug/pkg/strike"
 )
 
 const (
-	// stallPauseFactor times the route's target for the pause between events is how long a resumable stream may
-	// send nothing before it is retried on another server.
-	stallPauseFactor = 4
-	// minStallTimeout is the minimum of that time.
-	minStallTimeout = 1200 * time.Millisecond
-	// stallRecheckInterval is how often it is asked again whether a silent attempt has stalled, while too little is known.
-	stallRecheckInterval = 50 * time.Millisecond
 	// maxEventBytes limits the size of one event.
 	maxEventBytes = 1 << 20
 	// streamReadSize is the size of one read from a server.
@@ -48,32 +38,22 @@
 
 // send relays the stream from one server until it is complete or broken.
 func (s *streamRelay) send(ctx context.Context, ticket *placement.Ticket, run *strike.Run) sendResult {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := s.n.startStallTimer(s.req, ticket, cancel)
-	defer timer.stop()
-	out, err := s.n.outbound(ctx, s.req, ticket, s.resumeAfter())
-	if err != nil {
-		return sendResult{status: notSent, reason: "invalid_request"}
-	}
-	resp, err := s.n.client.Exchange(out)
-	if err != nil {
-		return classify(ctx, err)
-	}
-	defer closeBody(resp)
-	if result, done := s.n.checkReply(s.req, resp, ticket); done {
+	sent, resp, result := s.n.startSend(ctx, s.req, ticket, s.resumeAfter())
+	defer sent.end()
+	if resp == nil {
 		return result
 	}
+	defer closeBody(resp)
 	if resp.StatusCode/100 != 2 {
 		return s.serverFailure(resp)
 	}
 	s.resuming = s.lastID != ""
-	err = s.copyEvents(resp.Response, ticket, run, timer)
+	err := s.copyEvents(resp.Response, ticket, run, sent.timer)
 	if err == nil {
 		s.req.outcome = logline.Served
 		return sendResult{status: delivered, completed: true}
 	}
-	return classify(ctx, err)
+	return classify(sent.ctx, err)
 }
 
 // resumeAfter returns the id of the event after which a server should resume.
@@ -84,102 +64,6 @@
 	return s.req.ResumeAfter
 }
 
-// errStalled is the cancellation cause of a send whose answer stalled.
-var errStalled = errorString("answer stalled")
-
-type errorString string
-
-// Error implements error.
-func (e errorString) Error() string { return string(e) }
-
-// startStallTimer returns a timer that cancels a send of which nothing arrives for too long, or nil if the request cannot
-// be sent again in time. While nothing shows that the service is faster, no other server is left or the retry budget is
-// spent, the send goes on, because without a retry the request would fail, and the timer tries again later.
-func (n *Node) startStallTimer(req *request, ticket *placement.Ticket, cancel context.CancelCauseFunc) *stallTimer {
-	if !req.route.Repeat.MayRetry() || req.sends+1 >= req.route.MaxAttempts {
-		return nil
-	}
-	now := time.Now()
-	attempt := stall.Attempt{Service: req.service.Name, Expected: ticket.Expected, Target: req.route.LatencyTarget, Left: req.deadline.Sub(now)}
-	timeout, ok := n.forecasts.Timeout(attempt, now)
-	if !ok {
-		return nil
-	}
-	others := placement.Choice{Service: req.service.Name, Exclude: slices.Clone(req.triedServers), Eligible: n.rollouts.choices(req, now)[0]}
-	t, started := &stallTimer{timeout: timeout}, now
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(timeout, func() {
-		now := time.Now()
-		silent := !t.hasAnswered() // since the start
-		if silent && !n.forecasts.Stalled(attempt, now.Sub(started), now) {
-			t.tryAgain(stallRecheckInterval)
-			return
-		}
-		if !n.board.HasCandidate(others, now) || !n.retryWindow(req.service.Name).Withdraw(now) {
-			t.tryAgain(0)
-			return
-		}
-		if silent {
-			n.forecasts.Abandon(attempt.Service, now)
-		}
-		cancel(errStalled)
-	})
-	return t
-}
-
-// stallTimer cancels a send that has stalled.
-type stallTimer struct {
-	mu      sync.Mutex
-	timer   *time.Timer
-	timeout time.Duration
-	// answered is set once something has arrived.
-	answered bool
-	stopped  bool
-}
-
-func (t *stallTimer) hasAnswered() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.answered
-}
-
-// tryAgain starts the timer again, for the timeout if after is 0.
-func (t *stallTimer) tryAgain(after time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if after == 0 {
-		after = t.timeout
-	}
-	if !t.stopped {
-		t.timer.Reset(after)
-	}
-}
-
-// expect starts the timer again: something has arrived, and the next sign is due within the timeout.
-func (t *stallTimer) expect(timeout time.Duration) {
-	if t == nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.answered = true
-	if !t.stopped {
-		t.timeout = timeout
-		t.timer.Reset(timeout)
-	}
-}
-
-func (t *stallTimer) stop() {
-	if t == nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stopped = true
-	t.timer.Stop()
-}
-
 // serverFailure returns the result for an error response of a server.
 func (s *streamRelay) serverFailure(resp *httpclient.Response) sendResult {
 	if s.headerSent {
@@ -220,11 +104,14 @@
 				s.n.forecasts.Record(s.req.service.Name, ticket.Expected, time.Since(s.req.sentAt), time.Now())
 			}
 			s.n.countUsage(s.req)
-			timer.expect(stallTimeout)
+			if !timer.heard() {
+				return errStalled // another server sends these events
+			}
 			if e := s.writeEvents(resp, complete); e != nil {
 				return e
 			}
 			pending.drop(len(complete))
+			timer.expect(stallTimeout, s.resumeAfter())
 		}
 		switch {
 		case err == io.EOF && len(bytes.TrimSpace(pending.bytes)) > 0:
