--- a/internal/callerguard/fuzz_test.go
+++ b/internal/callerguard/fuzz_test.go
@@ -39,6 +39,11 @@
 type connKey struct{}
 
 func newGuardedServer(t testing.TB, limits headerlimit.Limits) *guardedServer {
+	return newGuardedServerOn(t, limits, func(l net.Listener) net.Listener { return l })
+}
+
+// newGuardedServerOn lets wrap replace the listener of the connections.
+func newGuardedServerOn(t testing.TB, limits headerlimit.Limits, wrap func(net.Listener) net.Listener) *guardedServer {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &guardedServer{network: netfault.NewPipeNetwork(), budget: headerlimit.NewBudget(1<<20, nil)}
@@ -56,7 +61,7 @@
 			_, _ = io.Copy(io.Discard, r.Body) // a broken body is expected
 		})}
 	s.guard.Attach(server)
-	go func() { _ = server.Serve(s.guard.Listener(listener)) }() // always returns an error
+	go func() { _ = server.Serve(s.guard.Listener(wrap(listener))) }() // always returns an error
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
--- a/internal/callerguard/guard.go
+++ b/internal/callerguard/guard.go
@@ -39,6 +39,9 @@
 	memoryRetryAfter = 500 * time.Millisecond
 )
 
+// longAgo is a deadline that ends reads at once.
+var longAgo = time.Unix(1, 0)
+
 // errRefused is the error of reads from a connection that was closed because of a request behind the one in progress.
 var errRefused = errors.New("the client exceeds a limit")
 
@@ -170,11 +173,16 @@
 	g.mu.Lock()
 	late := g.table.Expired(headerlimit.Reading, limits.HeaderTimeout, now)
 	held := g.table.Expired(headerlimit.Receiving, limits.BodyTimeout, now)
-	idle := g.table.Expired(headerlimit.Idle, limits.IdleTimeout, now)
+	for _, e := range g.table.Overdue(headerlimit.Idle, limits.IdleTimeout, now) {
+		// net/http closes an idle connection when its read fails. A request that has just been read is served: net/http
+		// resets the deadline then. Until then update, which needs mu, has not left the phase.
+		if err := e.Owner.(*conn).SetReadDeadline(longAgo); err != nil {
+			g.Log.WithError(err).Debug("setting read deadline of idle connection failed")
+		}
+	}
 	g.mu.Unlock()
 	g.closeEntries(headerlimit.HeaderTime, late...)
 	g.closeEntries(headerlimit.BodyTime, held...)
-	g.closeEntries(headerlimit.None, idle...)
 }
 
 // takeRefused returns and clears the counts of refused connections by reason.
@@ -211,7 +219,10 @@
 	before := c.scanner.Headers
 	reason := c.scanner.Scan(p[:n], c.guard.Limits())
 	if reason == headerlimit.None {
-		reason = c.update(time.Now)
+		var closed bool
+		if reason, closed = c.update(time.Now); closed {
+			return 0, net.ErrClosed // a request must not run if its caller cannot be answered
+		}
 	}
 	if reason != headerlimit.None {
 		serving := c.isServing()
@@ -226,8 +237,9 @@
 // isServing reports whether a complete header has arrived whose request has not ended.
 func (c *conn) isServing() bool { return c.scanner.Headers > c.ended }
 
-// update reports the state after a read to the table, if it has changed there.
-func (c *conn) update(now func() time.Time) headerlimit.Reason {
+// update reports the state after a read to the table, if it has changed there. closed means that the table has closed the
+// connection, of which only the socket may still be open.
+func (c *conn) update(now func() time.Time) (reason headerlimit.Reason, closed bool) {
 	phase, cost := headerlimit.Reading, c.scanner.Cost()
 	switch {
 	case c.scanner.Headers == c.ended+1 && c.scanner.MidBody():
@@ -241,7 +253,7 @@
 	g.mu.Lock()
 	if c.entry.IsClosed() {
 		g.mu.Unlock()
-		return headerlimit.None // the next read fails
+		return headerlimit.None, true
 	}
 	var replaced []*headerlimit.Entry
 	ok := true
@@ -258,9 +270,9 @@
 	g.mu.Unlock()
 	g.closeEntries(headerlimit.Memory, replaced...)
 	if !ok {
-		return headerlimit.Memory
+		return headerlimit.Memory, false
 	}
-	return headerlimit.None
+	return headerlimit.None, false
 }
 
 // requestEnded is called after a response, if the connection stays open.
--- a/internal/callerguard/guard_test.go
+++ b/internal/callerguard/guard_test.go
@@ -1,8 +1,12 @@
 package callerguard
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,6 +45,118 @@
 	assert.ErrorContains(t, err, "EOF")
 }
 
+// heldListener returns connections whose reads, once hold is set, return only after release is closed.
+type heldListener struct {
+	net.Listener
+	hold          atomic.Bool
+	read, release chan struct{}
+}
+
+type heldConn struct {
+	net.Conn
+	listener *heldListener
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{c, l}, nil
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.listener.hold.CompareAndSwap(true, false) {
+		close(c.listener.read)
+		<-c.listener.release
+	}
+	return n, err
+}
+
+// Guards against a request that runs although its connection has just been closed, for its idle time or in favor of a new
+// one: its caller gets no answer. The request has been read, but the guard has not seen it.
+func TestRequestOnAnIdleConnectionIsAnsweredOrNotRun(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, served := range map[string]int64{"idle time": 2, "replaced": 1} {
+		t.Run(name, func(t *testing.T) {
+			held := &heldListener{read: make(chan struct{}), release: make(chan struct{})}
+			s := newGuardedServerOn(t, headerlimit.Limits{HeaderBytes: testHeaderBytes, IdleTimeout: time.Minute}, func(l net.Listener) net.Listener {
+				held.Listener = l
+				return held
+			})
+			conn, err := s.network.Dial(t.Context(), "tcp", testAddr)
+			assert.NilError(t, err)
+			defer conn.Close()
+			answers := bufio.NewReader(conn)
+			ask := func() error {
+				if _, err := conn.Write([]byte(request)); err != nil {
+					return err
+				}
+				answer, err := http.ReadResponse(answers, nil)
+				if err != nil {
+					return err
+				}
+				_, err = io.Copy(io.Discard, answer.Body)
+				return err
+			}
+			assert.NilError(t, ask())
+			s.await(t, func() bool { return s.guard.table.Overdue(headerlimit.Idle, time.Nanosecond, time.Now()) != nil })
+			held.hold.Store(true)
+			asked := make(chan error, 1)
+			go func() { asked <- ask() }()
+			<-held.read
+			if name == "replaced" {
+				for range testConnections {
+					other, err := s.network.Dial(t.Context(), "tcp", testAddr)
+					assert.NilError(t, err)
+					defer other.Close()
+				}
+				s.await(t, func() bool { return s.guard.table.Overdue(headerlimit.Idle, time.Nanosecond, time.Now()) == nil })
+			} else {
+				s.guard.closeExpired(time.Now().Add(2 * time.Minute))
+			}
+			close(held.release)
+			err = <-asked
+			assert.Equal(t, err == nil, served == 2, "%v", err)
+			time.Sleep(50 * time.Millisecond) // in which a request that must not run would
+			assert.Equal(t, s.served.Load(), served)
+		})
+	}
+}
+
+// Guards against connections that stay open beyond their idle time.
+func TestIdleConnectionsEndByTheirTimeout(t *testing.T) {
+	s := newGuardedServer(t, headerlimit.Limits{HeaderBytes: testHeaderBytes, IdleTimeout: time.Minute})
+	conn, err := s.network.Dial(t.Context(), "tcp", testAddr)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+	s.await(t, func() bool { return s.guard.table.Overdue(headerlimit.Idle, time.Nanosecond, time.Now()) != nil })
+	s.guard.closeExpired(time.Now().Add(50 * time.Second))
+	assert.Equal(t, s.guard.table.Count(), 1)
+	s.guard.closeExpired(time.Now().Add(70 * time.Second))
+	s.settled(t)
+}
+
+// await waits until a condition on the guard's table holds.
+func (s *guardedServer) await(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		s.guard.mu.Lock()
+		done := holds()
+		s.guard.mu.Unlock()
+		if done {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end))
+	}
+}
+
 // replayConn is a connection on which the same request arrives with each read.
 type replayConn struct {
 	net.Conn
--- a/pkg/headerlimit/table.go
+++ b/pkg/headerlimit/table.go
@@ -229,6 +229,15 @@
 	return nil
 }
 
+// Overdue returns the entries that exceed their timeout in a phase.
+func (t *Table) Overdue(phase Phase, timeout time.Duration, now time.Time) (overdue []*Entry) {
+	head := &t.waiting[phase]
+	for e := head.next; timeout > 0 && e != head && now.Sub(e.since) > timeout; e = e.next {
+		overdue = append(overdue, e)
+	}
+	return overdue
+}
+
 // Expired closes and returns the entries that exceed their timeout in a phase.
 func (t *Table) Expired(phase Phase, timeout time.Duration, now time.Time) (expired []*Entry) {
 	head := &t.waiting[phase]
