--- a/internal/edge/storereturn_test.go
+++ b/internal/edge/storereturn_test.go
@@ -172,11 +172,14 @@
 	nodes := []*runningNode{d.startNode(), d.startNode()}
 	started := time.Now()
 	served := map[*runningNode]bool{}
+	const rewrittenAfter = time.Second // within the two seconds that the operator has, however long the requests below take
+	rewrite := time.AfterFunc(rewrittenAfter, func() {
+		d.version = newest - 1
+		d.configure()
+		t.Logf("configuration written again %v after the start of the nodes", time.Since(started))
+	})
+	defer rewrite.Stop()
 	for sequence := 2; len(served) < 2; sequence++ {
-		if sequence == 4 { // the operator writes its configuration again
-			d.version = newest - 1
-			d.configure()
-		}
 		// A server writes its row several times in the time in which the nodes wait.
 		d.store.Put("servers", "desk-2", stays.Row("desk", "domain-a", 8, "ready", sequence))
 		for _, n := range nodes {
