--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -184,7 +184,7 @@
 // latency target and the deadline can be met.
 func (n *Node) pickServer(req *request) (*placement.Ticket, *code.Error) {
 	now := time.Now()
-	ticket := n.pickOf(req, n.choice(req), n.rollouts.choices(req, now), req.ResumeAfter != "" || req.sends > 0, now)
+	ticket := n.pickOf(req, n.choice(req), n.rollouts.choices(req, len(req.triedServers) == 0, now), req.ResumeAfter != "" || req.sends > 0, now)
 	if req.service.Engine == nil && req.sends == 0 {
 		n.demand.add(req.service.Name, 0, 0, now)
 	}
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -362,8 +362,8 @@
 }
 
 // choices returns filters of the servers for the next send of a request; the first one with a candidate applies. nil
-// allows all servers.
-func (r *rollouts) choices(req *request, now time.Time) []filter {
+// allows all servers. first is set for its first send.
+func (r *rollouts) choices(req *request, first bool, now time.Time) []filter {
 	if !r.enabled() {
 		return []filter{nil}
 	}
@@ -391,7 +391,7 @@
 		}
 		return []filter{fresh, old}
 	}
-	if len(req.triedServers) > 0 || !s.state.Allows(s.gate, now) || rand.Float64() >= s.state.RouteShare(nameHash(req.route.Name), now) {
+	if !first || !s.state.Allows(s.gate, now) || rand.Float64() >= s.state.RouteShare(nameHash(req.route.Name), now) {
 		return s.withFallback(old, fresh)
 	}
 	ranks, canaries, version := s.canaryRank, s.state.Canaries(now), s.state.To
--- a/internal/edge/rolloutnews_test.go
+++ b/internal/edge/rolloutnews_test.go
@@ -55,7 +55,7 @@
 	used := map[string]bool{}
 	req := &request{service: &serving.Service{Name: "desk"}, route: &serving.Route{Name: "r"}}
 	for range 2000 {
-		choice := n.choices(req, n.now)[0]
+		choice := n.choices(req, true, n.now)[0]
 		for _, server := range n.rollouts.services["desk"].servers {
 			if choice == nil || choice(&server) {
 				used[server.Version] = true
--- a/internal/edge/takeover.go
+++ b/internal/edge/takeover.go
@@ -181,15 +181,15 @@
 // stallTimer sends a request to another server when its server is silent for too long, and cancels the send to the silent
 // server when another one has taken the request.
 type stallTimer struct {
-	n       *Node
+	n *Node
+	// req is that of the send. The timer's goroutine reads only what does not change while the request is relayed.
 	req     *request
 	ctx     context.Context // of the request
 	cancel  context.CancelCauseFunc
 	attempt stall.Attempt
 	started time.Time
-	// choice excludes the servers that have had the request, and filters are the conditions on others, the best first.
-	choice  placement.Choice
-	filters []filter
+	// choice excludes the servers that had the request before the send.
+	choice placement.Choice
 	// sendsLeft is the number of further sends that the route allows.
 	sendsLeft int
 
@@ -222,7 +222,7 @@
 	if !ok {
 		return nil
 	}
-	t := &stallTimer{n: n, req: req, ctx: ctx, cancel: cancel, attempt: attempt, started: now, choice: n.choice(req), filters: n.rollouts.choices(req, now),
+	t := &stallTimer{n: n, req: req, ctx: ctx, cancel: cancel, attempt: attempt, started: now, choice: n.choice(req),
 		sendsLeft: sendsLeft, timeout: timeout, resumeAfter: resumeAfter}
 	t.choice.Exclude = slices.Clone(req.triedServers)
 	t.mu.Lock()
@@ -241,7 +241,7 @@
 		t.tryAgain(stallRecheckInterval)
 		return
 	}
-	next := t.startTakeover(now)
+	next := t.tryOther(now)
 	if next == nil {
 		t.tryAgain(0)
 		return
@@ -275,9 +275,9 @@
 	}
 }
 
-// startTakeover sends the request to another server. It returns nil if there is none, the retry budget is spent or the
+// tryOther sends the request to another server. It returns nil if there is none, the retry budget is spent or the
 // send has ended.
-func (t *stallTimer) startTakeover(now time.Time) *takeover {
+func (t *stallTimer) tryOther(now time.Time) *takeover {
 	n, choice := t.n, t.choice
 	t.mu.Lock()
 	choice.Exclude = slices.Concat(choice.Exclude, t.tried)
@@ -285,7 +285,7 @@
 	if len(choice.Exclude)+1 >= maxServersTried {
 		return nil
 	}
-	ticket := n.pickOf(t.req, choice, t.filters, true, now)
+	ticket := n.pickOf(t.req, choice, n.rollouts.choices(t.req, false, now), true, now)
 	if ticket == nil {
 		return nil
 	}
