--- a/internal/callerguard/guard.go
+++ b/internal/callerguard/guard.go
@@ -174,8 +174,8 @@
 	late := g.table.Expired(headerlimit.Reading, limits.HeaderTimeout, now)
 	held := g.table.Expired(headerlimit.Receiving, limits.BodyTimeout, now)
 	for _, e := range g.table.Overdue(headerlimit.Idle, limits.IdleTimeout, now) {
-		// net/http closes an idle connection when its read fails. A request that has just been read is served: net/http
-		// resets the deadline then. Until then update, which needs mu, has not left the phase.
+		// net/http closes an idle connection when its read fails. A read that has already returned waits in update for mu;
+		// its request is served, as net/http resets the deadline before it reads on.
 		if err := e.Owner.(*conn).SetReadDeadline(longAgo); err != nil {
 			g.Log.WithError(err).Debug("setting read deadline of idle connection failed")
 		}
--- a/internal/edge/takeover.go
+++ b/internal/edge/takeover.go
@@ -14,11 +14,16 @@
 	"github.com/pollenlug/pollenlug/pkg/strike"
 )
 
+// This file sends requests to a second server while the first one is silent.
+//
 // Load pattern: servers fall silent for a while, because they are overloaded, preempt streams or hang, and the others may
-// be too full to take more requests. Nothing tells a server that hangs from one that will go on. A silent server is
-// therefore left only for one that takes its request: the request is sent to another server, and the silent one is
-// cancelled as soon as that has answered with success, or has not refused the request for a while. Full servers refuse
-// at once. If the request is refused, the silent server may still go on; if it does so first, the other one is cancelled.
+// be too full to take more requests. Nothing tells a server that hangs from one that will go on, so a silent server is left
+// only for one that takes its request. The request is sent to another server, and the silent one is canceled as soon as
+// that has answered with success, or has not refused the request for a while: full servers refuse at once. If the request
+// is refused, the silent server keeps it. If the silent server goes on first, the other one is canceled.
+//
+// The timer of a send decides in a goroutine of its own and shares a mutex with the goroutine of the request. A second send
+// that is under way when the first one ends, or has been handed over to, is left to the request, which goes on with it.
 
 const (
 	// stallPauseFactor times the route's target for the pause between events is how long a resumable stream may
@@ -44,7 +49,7 @@
 // Error implements error.
 func (e errorString) Error() string { return string(e) }
 
-// takeoverState tells who has to end a takeover.
+// takeoverState is what has become of a takeover.
 type takeoverState uint8
 
 const (
@@ -282,7 +287,7 @@
 	t.mu.Lock()
 	choice.Exclude = slices.Concat(choice.Exclude, t.tried)
 	t.mu.Unlock()
-	if len(choice.Exclude)+1 >= maxServersTried {
+	if len(choice.Exclude)+1 >= maxServersTried { // checkRetry would refuse to go on with the last one
 		return nil
 	}
 	ticket := n.pickOf(t.req, choice, n.rollouts.choices(t.req, false, now), true, now)
