--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -52,7 +52,7 @@
 }
 
 const (
-	// maxLoggedParts and maxLoggedID limit what a caller's list of prompt parts adds to a log line.
+	// maxLoggedParts and maxLoggedID limit what ids of others, such as those of prompt parts, add to a log line.
 	maxLoggedParts = 16
 	maxLoggedID    = 32
 )
@@ -60,11 +60,14 @@
 func loggedParts(ids []string) []string {
 	out := make([]string, 0, min(len(ids), maxLoggedParts))
 	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
-		out = append(out, id[:min(len(id), maxLoggedID)])
+		out = append(out, loggedID(id))
 	}
 	return out
 }
 
+// loggedID returns the part of an id that is logged.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // logRequest writes the request's only log line, which says how it ended and why, and counts the request.
 func (n *Node) logRequest(req *request) {
 	elapsed := time.Since(req.arrived)
@@ -106,6 +109,9 @@
 	if req.reason != "" {
 		fields[logline.Reason] = req.reason
 	}
+	if req.lost != "" {
+		fields[logline.Lost] = req.lost
+	}
 	if req.workspace != nil {
 		fields["workspace"] = req.workspace.Name
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -68,6 +68,8 @@
 	connRefused, connLost bool
 	// unsent is set if the send was canceled before a byte of the request left this node.
 	unsent bool
+	// detail says more about the reason of a lost response, for the log.
+	detail string
 	// retryReserved is set if a retry has already been taken from the budget, for a takeover.
 	retryReserved bool
 }
@@ -240,6 +242,9 @@
 	result.ticket = ticket
 	now := time.Now()
 	n.rollouts.end(ctx, req.versionAttempt, result, now)
+	if result.status == responseLost {
+		req.lost = lostResponse(result)
+	}
 	req.logDigest = req.logDigest || result.status == responseLost || result.status == delivered && result.connLost
 	n.endRun(result, run, now)
 	if result.status == delivered && !result.connLost {
@@ -248,6 +253,14 @@
 	return result
 }
 
+// lostResponse describes a lost response for the log.
+func lostResponse(result sendResult) string {
+	if result.detail == "" {
+		return result.reason
+	}
+	return result.reason + ": " + result.detail
+}
+
 // endRun reports the outcome of a send to the load, outlier and crash tracking.
 func (n *Node) endRun(result sendResult, run *strike.Run, now time.Time) {
 	ticket := result.ticket
@@ -433,6 +446,15 @@
 	case errors.Is(err, httpclient.ErrInvalidResponse):
 		return sendResult{status: responseLost, reason: "answer_invalid"}
 	default:
-		return sendResult{status: responseLost, reason: "connection_lost", connLost: true}
+		return sendResult{status: responseLost, reason: "connection_lost", detail: orderDetail(err), connLost: true}
+	}
+}
+
+// orderDetail returns the text of an error in the order of a stream's events, or nothing for other errors.
+func orderDetail(err error) string {
+	var order orderError
+	if !errors.As(err, &order) {
+		return ""
 	}
+	return order.Error()
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -66,6 +66,8 @@
 	takeover *takeover
 	outcome  string
 	reason   string
+	// lost says why the last response that was lost could not be used.
+	lost string
 	// expected is the estimated time to the first event on the last server. firstEvent is the measured time, counted
 	// from sentAt.
 	expected   time.Duration
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -180,11 +181,17 @@
 	return http.NewResponseController(s.req.w).Flush()
 }
 
+// orderError is the error of events that do not continue a stream.
+type orderError string
+
+// Error implements error.
+func (e orderError) Error() string { return string(e) }
+
 // checkSequence compares an event's id with the last one. isNew is false if the event has been sent before.
 func (s *streamRelay) checkSequence(event []byte) (isNew bool, err error) {
 	id, ok := eventID(event)
 	if !ok && s.resuming && !isComment(event) {
-		return false, errorString("the stream is resumed without an event id")
+		return false, orderError("the stream is resumed without an event id")
 	}
 	if !ok {
 		return true, nil
@@ -196,7 +203,7 @@
 			return false, nil
 		}
 		if number != s.lastNumber+1 {
-			return false, errorString("gap in event ids")
+			return false, orderError(fmt.Sprintf("gap in event ids, %s follows %s", loggedID(id), loggedID(s.lastID)))
 		}
 	}
 	s.lastID = id
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -154,6 +154,9 @@
 		nodes[x.Node] = true
 	}
 	summary := fmt.Sprintf("server %s failed the request (%s)", server, a.reason())
+	if lost := fieldText(a.Fields[logline.Lost]); lost != "" {
+		summary = fmt.Sprintf("server %s failed the request (%s; %s)", server, a.reason(), lost)
+	}
 	switch {
 	case a.Outcome == code.CallerGone.String():
 		a.Cause = "the caller closed the connection while the request was on server " + server
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -45,13 +45,15 @@
 
 // Fields.
 const (
-	Time       = "time"
-	Node       = "node"
-	Message    = "msg"
-	Level      = "level"
-	Attempt    = "attempt"
-	Outcome    = "outcome"
-	Reason     = "why"
+	Time    = "time"
+	Node    = "node"
+	Message = "msg"
+	Level   = "level"
+	Attempt = "attempt"
+	Outcome = "outcome"
+	Reason  = "why"
+	// Lost is why the last response that was lost could not be used.
+	Lost       = "lost"
 	Servers    = "servers"
 	Server     = "server"
 	Duration   = "ms"
