--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -12,6 +12,7 @@
 	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/pkg/backend"
 	"github.com/pollenlug/pollenlug/pkg/code"
+	"github.com/pollenlug/pollenlug/pkg/eventorder"
 	"github.com/pollenlug/pollenlug/pkg/placement"
 	"github.com/pollenlug/pollenlug/pkg/strike"
 )
@@ -452,7 +453,7 @@
 
 // orderDetail returns the text of an error in the order of a stream's events, or nothing for other errors.
 func orderDetail(err error) string {
-	var order orderError
+	var order eventorder.Error
 	if !errors.As(err, &order) {
 		return ""
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -3,15 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pollenlug/pollenlug/internal/adapter/httpclient"
 	"github.com/pollenlug/pollenlug/internal/logline"
+	"github.com/pollenlug/pollenlug/pkg/eventorder"
 	"github.com/pollenlug/pollenlug/pkg/placement"
 	"github.com/pollenlug/pollenlug/pkg/strike"
 )
@@ -29,12 +28,8 @@
 	req *request
 	// headerSent is set once the response header has been sent to the caller.
 	headerSent bool
-	// lastID is the id of the last event sent to the caller; lastNumber is its value if lastIsNumber is set.
-	lastID       string
-	lastNumber   int64
-	lastIsNumber bool
-	// resuming is set until the first event of a server that resumes the stream.
-	resuming bool
+	// order decides which events are sent to the caller.
+	order eventorder.Order
 }
 
 // send relays the stream from one server until it is complete or broken.
@@ -48,7 +43,7 @@
 	if resp.StatusCode/100 != 2 {
 		return s.serverFailure(resp)
 	}
-	s.resuming = s.lastID != ""
+	s.order.ServerChanged()
 	err := s.copyEvents(resp.Response, ticket, run, sent.timer)
 	if err == nil {
 		s.req.outcome = logline.Served
@@ -59,8 +54,8 @@
 
 // resumeAfter returns the id of the event after which a server should resume.
 func (s *streamRelay) resumeAfter() string {
-	if s.lastID != "" {
-		return s.lastID
+	if id := s.order.Last(); id != "" {
+		return id
 	}
 	return s.req.ResumeAfter
 }
@@ -137,6 +132,9 @@
 
 // finish ends a complete stream, which may be empty.
 func (s *streamRelay) finish(resp *http.Response) error {
+	if err := s.order.End(); err != nil {
+		return err
+	}
 	if !s.headerSent {
 		s.writeHeader(resp)
 	}
@@ -155,13 +153,13 @@
 	s.headerSent = true
 }
 
-// writeEvents sends complete events to the caller. Events already sent are skipped; a gap is an error.
+// writeEvents sends complete events to the caller, except those that have been sent before.
 func (s *streamRelay) writeEvents(resp *http.Response, block []byte) error {
 	var out []byte
 	for len(block) > 0 {
 		event := block[:firstEventLen(block)]
 		block = block[len(event):]
-		isNew, err := s.checkSequence(event)
+		isNew, err := s.isNew(event)
 		if err != nil {
 			return err
 		}
@@ -181,34 +179,14 @@
 	return http.NewResponseController(s.req.w).Flush()
 }
 
-// orderError is the error of events that do not continue a stream.
-type orderError string
-
-// Error implements error.
-func (e orderError) Error() string { return string(e) }
-
-// checkSequence compares an event's id with the last one. isNew is false if the event has been sent before.
-func (s *streamRelay) checkSequence(event []byte) (isNew bool, err error) {
-	id, ok := eventID(event)
-	if !ok && s.resuming && !isComment(event) {
-		return false, orderError("the stream is resumed without an event id")
-	}
-	if !ok {
+// isNew reports whether an event has not been sent to the caller yet. It returns an error if the event does not continue
+// the stream.
+func (s *streamRelay) isNew(event []byte) (bool, error) {
+	id := eventID(event)
+	if id == "" && isComment(event) {
 		return true, nil
 	}
-	s.resuming = false
-	number, parseErr := strconv.ParseInt(id, 10, 64)
-	if parseErr == nil && s.lastIsNumber {
-		if number <= s.lastNumber {
-			return false, nil
-		}
-		if number != s.lastNumber+1 {
-			return false, orderError(fmt.Sprintf("gap in event ids, %s follows %s", loggedID(id), loggedID(s.lastID)))
-		}
-	}
-	s.lastID = id
-	s.lastNumber, s.lastIsNumber = number, parseErr == nil
-	return true, nil
+	return s.order.Next(id)
 }
 
 // isComment reports whether all lines of an event are comments, which servers may send at any time.
@@ -221,14 +199,14 @@
 	return true
 }
 
-// eventID returns the id field of an event.
-func eventID(event []byte) (string, bool) {
-	for line := range strings.SplitSeq(string(event), "\n") {
-		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			return strings.TrimSpace(value), true
+// eventID returns the id field of an event, or nothing.
+func eventID(event []byte) string {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value))
 		}
 	}
-	return "", false
+	return ""
 }
 
 // firstEventLen returns the length of the first event including its blank line, or len(b) without one.
--- /dev/null
+++ b/internal/edge/streamorder_test.go
@@ -0,0 +1,105 @@
+package edge_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollenlug/pollenlug/platform/standin"
+)
+
+// Guards against cutting off the stream of a sound server because its event ids have gaps (review/13).
+func TestStreamWithGapsInItsEventIDsIsWhole(t *testing.T) {
+	for _, path := range []string{"/draft/1", "/quote/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.configure()
+			s := d.serve("engine-1", "engine", 9)
+			s.IDStep = 2
+			got := d.node().do(t, call{path: path})
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventsApart(2, 1, 9))
+			assert.Equal(t, len(s.Runs()), 1)
+		})
+	}
+}
+
+// Guards against cutting off a stream whose event ids have gaps when another server goes on with it, and against events that
+// are sent twice when that server begins again.
+func TestStreamWithGapsInItsEventIDsGoesOnElsewhere(t *testing.T) {
+	for name, next := range map[string]standin.Behavior{"goes on": {}, "begins again": {Restart: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.configure()
+			breaksFirst := onlyFirst(standin.Behavior{CutAfter: 3})
+			for _, id := range []string{"engine-1", "engine-2"} {
+				s := d.serve(id, "engine", 9)
+				s.IDStep = 5
+				s.SetBehavior(func(r *http.Request) standin.Behavior {
+					if b := breaksFirst(r); b != (standin.Behavior{}) {
+						return b
+					}
+					return next
+				})
+			}
+			got := d.node().do(t, call{path: "/quote/1"})
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventsApart(5, 1, 9))
+		})
+	}
+}
+
+// Guards against a stream that looks complete although another server has left out events, or has gone on with a run whose
+// events are others, when it took over.
+func TestStreamIsNotContinuedByOtherEvents(t *testing.T) {
+	for name, test := range map[string]struct{ first, next string }{
+		"consecutive ids, left out":        {stream(1, 2, 3), stream(5, 6)},
+		"even gaps, left out":              {stream(2, 4, 6), stream(10, 12)},
+		"begins again, other ids":          {stream(2, 4, 6), stream(1, 3, 5, 7, 9)},
+		"begins again, ends too early":     {stream(2, 4, 6), stream(2, 4)},
+		"begins again, last one left out":  {stream(2, 4, 6), stream(2, 4, 8, 10)},
+		"goes on, not in order afterwards": {stream(2, 5, 6), stream(9, 8, 10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := resumed(t, test.first, test.next)
+			assert.Assert(t, got.err != nil, "complete: %q", got.body)
+			assert.Assert(t, strings.HasPrefix(got.body, test.first), got.body)
+		})
+	}
+}
+
+// resumed returns what a caller gets of a stream whose first server breaks off after some events and whose second server
+// completes it with others.
+func resumed(t *testing.T, first, next string) reply {
+	d := newDeployment(t)
+	d.configure()
+	var started atomic.Bool
+	for i := range 2 {
+		d.script(fmt.Sprint("engine-", i), "engine", func(conn net.Conn, attempt string, _ int) bool {
+			body := first + "id: 99\ndata: pie"
+			if started.Swap(true) {
+				body = next
+			}
+			write(conn, signed(attempt)+"Content-Type: text/event-stream\r\n\r\n"+body)
+			return false
+		})
+	}
+	return d.node().do(t, call{path: "/quote/1"})
+}
+
+// stream returns events with the given ids.
+func stream[ID any](ids ...ID) string {
+	var b strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&b, "id: %v\ndata: piece %v\n\n", id, id)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pkg/eventorder/eventorder.go
@@ -0,0 +1,200 @@
+// Package eventorder decides which events of successive servers make up one stream.
+//
+// The ids of a stream's events increase, by how much is the server's choice. So a gap between two ids of one server says
+// nothing, and its stream is passed on as it comes. When a server breaks off and another one is asked to go on after the last
+// event, that one may go on, or begin again with events that have been sent. It has to show that its events continue
+// the stream: if it begins again, the last event sent must be among them; if it goes on, its first id must not leave out a
+// step of a stream whose ids have been evenly spaced so far.
+package eventorder
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+)
+
+// minEvenSteps is the number of equal steps between ids that show that a stream's ids are evenly spaced.
+const minEvenSteps = 2
+
+// maxShownID limits the length of an id in an error.
+const maxShownID = 32
+
+// Error is the error of events that do not continue a stream.
+type Error string
+
+// Error implements error.
+func (e Error) Error() string { return string(e) }
+
+// position is where the events of a server are, compared with those that have been accepted.
+type position uint8
+
+const (
+	// following means that its next event follows the last one accepted.
+	following position = iota
+	// joining means that it has been asked to go on, and nothing of it is known.
+	joining
+	// repeating means that it has begun again and has not reached the last event accepted.
+	repeating
+)
+
+// Order follows the event ids of one stream. The zero value is that of a stream without events. It is not safe for concurrent
+// use.
+type Order struct {
+	first, last eventID // of the accepted events
+	steps       spacing
+	// position and previous, the id of its last event, are those of the current server.
+	position position
+	previous eventID
+}
+
+// Last returns the id of the last event accepted, or nothing.
+func (o *Order) Last() string { return o.last.text }
+
+// ServerChanged tells that the next events come from another server, which has been asked to go on after the last one.
+func (o *Order) ServerChanged() {
+	o.previous, o.position = eventID{}, following
+	if o.last.text != "" {
+		o.position = joining
+	}
+}
+
+// Next tells of the next event of the current server, with its id or nothing if it has none. isNew reports whether the
+// event continues the stream; otherwise it has been sent before. An Error means that the server's events do not continue it.
+func (o *Order) Next(id string) (isNew bool, err error) {
+	if id == "" {
+		return o.withoutID()
+	}
+	event := parseID(id)
+	if o.position == joining {
+		if err := o.join(event); err != nil {
+			return false, err
+		}
+	}
+	if order, known := event.compare(o.previous); known && order <= 0 {
+		if order == 0 || o.accepted(event) {
+			return false, nil
+		}
+		return false, failure("event id %s follows %s", event, o.previous)
+	}
+	o.previous = event
+	if o.position == repeating {
+		return false, o.repeat(event)
+	}
+	o.accept(event)
+	return true, nil
+}
+
+// withoutID handles an event without an id.
+func (o *Order) withoutID() (isNew bool, err error) {
+	if o.position == joining {
+		return false, Error("the stream is resumed without an event id")
+	}
+	return o.position == following, nil
+}
+
+// join handles the first event of a server that has been asked to go on.
+func (o *Order) join(event eventID) error {
+	order, known := event.compare(o.last)
+	if known && order <= 0 {
+		o.position = repeating
+		return nil
+	}
+	if known && o.steps.exceededBy(o.last, event) {
+		return failure("events are left out, id %s follows %s", event, o.last)
+	}
+	o.position = following
+	return nil
+}
+
+// repeat handles an event of a server that has begun again.
+func (o *Order) repeat(event eventID) error {
+	order, known := event.compare(o.last)
+	switch {
+	case known && order == 0:
+		o.position = following
+	case known && order > 0:
+		return failure("the stream begins again without event id %s, id %s follows", o.last, event)
+	}
+	return nil
+}
+
+// accept adds an event to the stream.
+func (o *Order) accept(event eventID) {
+	if o.last.text == "" {
+		o.first = event
+	} else {
+		o.steps.add(o.last, event)
+	}
+	o.last = event
+}
+
+// accepted reports whether an event with an id that is not above the last one is certain to have been accepted.
+func (o *Order) accepted(event eventID) bool {
+	order, known := event.compare(o.first)
+	return known && order >= 0 && o.steps.contain(o.first, event)
+}
+
+// End tells that the stream of the current server is complete. An Error means that it does not complete the stream.
+func (o *Order) End() error {
+	if o.position == repeating {
+		return failure("the stream begins again and ends before event id %s", o.last)
+	}
+	return nil
+}
+
+// spacing is the differences between successive ids.
+type spacing struct {
+	size   uint64
+	count  int
+	uneven bool
+}
+
+// add adds the difference between two ids.
+func (s *spacing) add(from, to eventID) {
+	size := to.number - from.number
+	if !from.isNumber || !to.isNumber || s.count > 0 && size != s.size {
+		s.uneven = true
+		return
+	}
+	s.size = size
+	s.count++
+}
+
+// exceededBy reports whether the difference between two ids is too large for a stream whose ids are evenly spaced.
+func (s *spacing) exceededBy(from, to eventID) bool {
+	return !s.uneven && s.count >= minEvenSteps && to.isNumber && to.number-from.number > s.size
+}
+
+// contain reports whether an id is any number of equal steps above the first one.
+func (s *spacing) contain(first, id eventID) bool {
+	return !s.uneven && s.count > 0 && id.isNumber && (id.number-first.number)%s.size == 0
+}
+
+// eventID is the id of an event.
+type eventID struct {
+	text string
+	// number is its value if isNumber is set.
+	number   uint64
+	isNumber bool
+}
+
+func parseID(text string) eventID {
+	number, err := strconv.ParseUint(text, 10, 64)
+	return eventID{text, number, err == nil}
+}
+
+// compare compares two ids as in package cmp. known is false if they have no known order.
+func (e eventID) compare(other eventID) (order int, known bool) {
+	if !e.isNumber || !other.isNumber {
+		return 0, false
+	}
+	return cmp.Compare(e.number, other.number), true
+}
+
+func failure(format string, ids ...eventID) error {
+	shown := make([]any, len(ids))
+	for i, id := range ids {
+		shown[i] = id.text[:min(len(id.text), maxShownID)]
+	}
+	return Error(fmt.Sprintf(format, shown...))
+}
