--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -155,28 +155,37 @@
 
 // writeEvents sends complete events to the caller, except those that have been sent before.
 func (s *streamRelay) writeEvents(resp *http.Response, block []byte) error {
-	var out []byte
+	// The events before one that does not continue the stream count as sent, so they must be sent first.
+	out, orderErr := s.newEvents(block)
+	if len(out) == 0 {
+		return orderErr
+	}
+	if !s.headerSent {
+		s.writeHeader(resp)
+	}
+	if _, err := s.req.w.Write(out); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(s.req.w).Flush(); err != nil {
+		return err
+	}
+	return orderErr
+}
+
+// newEvents returns the events of a block that have not been sent yet, up to the first one that does not continue the stream.
+func (s *streamRelay) newEvents(block []byte) (out []byte, err error) {
 	for len(block) > 0 {
 		event := block[:firstEventLen(block)]
 		block = block[len(event):]
 		isNew, err := s.isNew(event)
 		if err != nil {
-			return err
+			return out, err
 		}
 		if isNew {
 			out = append(out, event...)
 		}
 	}
-	if len(out) == 0 {
-		return nil
-	}
-	if !s.headerSent {
-		s.writeHeader(resp)
-	}
-	if _, err := s.req.w.Write(out); err != nil {
-		return err
-	}
-	return http.NewResponseController(s.req.w).Flush()
+	return out, nil
 }
 
 // isNew reports whether an event has not been sent to the caller yet. It returns an error if the event does not continue
--- a/internal/edge/streamorder_test.go
+++ b/internal/edge/streamorder_test.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// Guards against events that the caller never gets because they arrived together with one that does not continue the stream,
+// while the next server is told that the caller has them.
+func TestEventsBeforeOneOutOfOrderAreSent(t *testing.T) {
+	t.Parallel()
+	got := resumed(t, stream(2, 4, 6, 5, 8), stream(7, 9))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, stream(2, 4, 6, 7, 9))
+}
+
 // resumed returns what a caller gets of a stream whose first server breaks off after some events and whose second server
 // completes it with others.
 func resumed(t *testing.T, first, next string) reply {
