--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -37,6 +37,9 @@
 // reasonStalled is the reason of a send that was canceled because nothing arrived.
 const reasonStalled = "answer_stalled"
 
+// reasonOutOfOrder is the reason of a send whose events do not continue the stream.
+const reasonOutOfOrder = "events_out_of_order"
+
 // status is the outcome of sending a request to one server.
 type status uint8
 
@@ -305,8 +308,8 @@
 func (n *Node) recordInterruption(result sendResult, run *strike.Run, now time.Time) {
 	result.ticket.End(placement.Failed, now)
 	n.outliers.Observe(result.ticket.Server.ID, false)
-	if result.reason == reasonStalled {
-		run.End(strike.Disconnected, now) // silence alone is no sign of a crash
+	if result.reason == reasonStalled || result.reason == reasonOutOfOrder {
+		run.End(strike.Disconnected, now) // no sign of a crash
 	} else {
 		run.End(strike.Interrupted, now)
 	}
@@ -437,6 +440,7 @@
 
 // classify returns the result for a failed send.
 func classify(ctx context.Context, err error) sendResult {
+	var order eventorder.Error
 	switch {
 	case context.Cause(ctx) == errStalled:
 		return sendResult{status: responseLost, reason: reasonStalled}
@@ -446,16 +450,9 @@
 		return sendResult{status: notSent, reason: "unreachable", connRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	case errors.Is(err, httpclient.ErrInvalidResponse):
 		return sendResult{status: responseLost, reason: "answer_invalid"}
+	case errors.As(err, &order):
+		return sendResult{status: responseLost, reason: reasonOutOfOrder, detail: order.Error()}
 	default:
-		return sendResult{status: responseLost, reason: "connection_lost", detail: orderDetail(err), connLost: true}
-	}
-}
-
-// orderDetail returns the text of an error in the order of a stream's events, or nothing for other errors.
-func orderDetail(err error) string {
-	var order eventorder.Error
-	if !errors.As(err, &order) {
-		return ""
+		return sendResult{status: responseLost, reason: "connection_lost", connLost: true}
 	}
-	return order.Error()
 }
--- a/internal/edge/streamorder_test.go
+++ b/internal/edge/streamorder_test.go
@@ -7,9 +7,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pollenlug/pollenlug/internal/logline"
 	"github.com/pollenlug/pollenlug/platform/standin"
 )
 
@@ -85,6 +87,28 @@
 	assert.Equal(t, got.body, stream(2, 4, 6, 7, 9))
 }
 
+// Guards against taking events out of order for a broken connection, which makes the request a suspect when servers crash.
+func TestEventsOutOfOrderAreNoSignOfACrash(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	d.script("engine-1", "engine", func(conn net.Conn, attempt string, _ int) bool {
+		write(conn, signed(attempt)+"Content-Type: text/event-stream\r\n\r\n"+stream(2, 4, 6, 5))
+		return false
+	})
+	got := d.node().do(t, call{path: "/draft/1"})
+	assert.Assert(t, got.err != nil)
+	time.Sleep(2500 * time.Millisecond) // longer than a crash is awaited after a connection broke
+	lost := ""
+	for _, line := range d.logs.read(t).Lines {
+		assert.Assert(t, line.Message != logline.StrikeDecision, "%v", line.Fields)
+		if line.Message == logline.Request {
+			lost = fmt.Sprint(line.Fields[logline.Lost])
+		}
+	}
+	assert.Equal(t, lost, "events_out_of_order: event id 5 follows 6")
+}
+
 // resumed returns what a caller gets of a stream whose first server breaks off after some events and whose second server
 // completes it with others.
 func resumed(t *testing.T, first, next string) reply {
