--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -74,6 +74,8 @@
 	unsent bool
 	// detail says more about the reason of a lost response, for the log.
 	detail string
+	// final is set if the caller has part of the response and no other server can go on with it.
+	final bool
 	// retryReserved is set if a retry has already been taken from the budget, for a takeover.
 	retryReserved bool
 }
@@ -345,7 +347,7 @@
 		req.sends++
 		req.mayHaveRun = true
 		n.countUsage(req)
-		if !req.route.Repeat.MayRetry() {
+		if !req.route.Repeat.MayRetry() || result.final {
 			return code.New(code.OutcomeUnknown, "the server's answer was lost")
 		}
 	case serverFailed:
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -18,6 +18,8 @@
 const (
 	// maxEventBytes limits the size of one event.
 	maxEventBytes = 1 << 20
+	// maxEventIDBytes limits the size of an event's id.
+	maxEventIDBytes = 1 << 10
 	// streamReadSize is the size of one read from a server.
 	streamReadSize = 16 << 10
 )
@@ -49,7 +51,9 @@
 		s.req.outcome = logline.Served
 		return sendResult{status: delivered, completed: true}
 	}
-	return classify(sent.ctx, err)
+	result = classify(sent.ctx, err)
+	result.final = !s.order.Resumable()
+	return result
 }
 
 // resumeAfter returns the id of the event after which a server should resume.
@@ -107,7 +111,9 @@
 				return e
 			}
 			pending.drop(len(complete))
-			timer.expect(stallTimeout, s.resumeAfter())
+			if s.order.Resumable() {
+				timer.expect(stallTimeout, s.resumeAfter())
+			}
 		}
 		switch {
 		case err == io.EOF && len(bytes.TrimSpace(pending.bytes)) > 0:
@@ -208,11 +214,14 @@
 	return true
 }
 
-// eventID returns the id field of an event, or nothing.
+// eventID returns the id field of an event, or nothing. Ids that are too long to be kept and sent in a header do not count.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
+			if value = bytes.TrimSpace(value); len(value) > maxEventIDBytes {
+				return ""
+			}
+			return string(value)
 		}
 	}
 	return ""
--- a/internal/edge/streamorder_test.go
+++ b/internal/edge/streamorder_test.go
@@ -109,6 +109,63 @@
 	assert.Equal(t, lost, "events_out_of_order: event id 5 follows 6")
 }
 
+// Guards against events that come twice when another server begins a stream again whose ids are no numbers, are larger than
+// an integer or are missing from some events, and against cutting such a stream off.
+func TestStreamsWithOtherEventIDsGoOnElsewhere(t *testing.T) {
+	const big = "3402823669209384634633746074317682114"
+	for name, ids := range map[string][]string{
+		"no numbers":            {"a-1", "a-2", "a-3", "a-4"},
+		"numbers and others":    {"1", "2", "x", "4"},
+		"larger than integers":  {big + "51", big + "53", big + "59", "1" + big + "00"},
+		"missing in the middle": {"2", "4", "", "8"},
+		"missing in the end":    {"2", "", "", "8"},
+	} {
+		for first := 2; first <= 3; first++ {
+			t.Run(fmt.Sprint(name, ", after ", first), func(t *testing.T) {
+				t.Parallel()
+				got := resumed(t, stream(ids[:first]...), stream(ids...))
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.body, stream(ids...))
+			})
+		}
+	}
+}
+
+// Guards against events that come twice because another server begins a stream again although nothing shows where its
+// events meet those that the caller has.
+func TestStreamThatCannotBeResumedIsBrokenOff(t *testing.T) {
+	for name, ids := range map[string][]string{
+		"no ids":       {"", "", "", ""},
+		"the same ids": {"a", "a", "a", "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := resumed(t, stream(ids[:2]...), stream(ids...))
+			assert.Assert(t, got.err != nil, "complete: %q", got.body)
+			assert.Equal(t, got.body, stream(ids[:2]...))
+		})
+	}
+}
+
+// Guards against leaving a silent server although no other server can go on with its stream.
+func TestSilentServerOfAStreamWithoutIDsIsKept(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.configure()
+	whole := stream("", "", "", "")
+	for i := range 2 {
+		d.script(fmt.Sprint("engine-", i), "engine", func(conn net.Conn, attempt string, _ int) bool {
+			write(conn, signed(attempt)+"Content-Type: text/event-stream\r\n\r\n"+stream("", ""))
+			time.Sleep(1700 * time.Millisecond)
+			write(conn, strings.TrimPrefix(whole, stream("", "")))
+			return false
+		})
+	}
+	got := d.node().do(t, call{path: "/quote/1"})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, whole)
+}
+
 // resumed returns what a caller gets of a stream whose first server breaks off after some events and whose second server
 // completes it with others.
 func resumed(t *testing.T, first, next string) reply {
@@ -128,11 +185,15 @@
 	return d.node().do(t, call{path: "/quote/1"})
 }
 
-// stream returns events with the given ids.
+// stream returns events with the given ids, or without an id where it is empty.
 func stream[ID any](ids ...ID) string {
 	var b strings.Builder
-	for _, id := range ids {
-		fmt.Fprintf(&b, "id: %v\ndata: piece %v\n\n", id, id)
+	for i, id := range ids {
+		if text := fmt.Sprint(id); text != "" {
+			fmt.Fprintf(&b, "id: %s\ndata: piece %s\n\n", text, text)
+		} else {
+			fmt.Fprintf(&b, "data: piece number %d\n\n", i)
+		}
 	}
 	return b.String()
 }
--- a/pkg/eventorder/eventorder.go
+++ b/pkg/eventorder/eventorder.go
@@ -5,12 +5,16 @@
 // event, that one may go on, or begin again with events that have been sent. It has to show that its events continue
 // the stream: if it begins again, the last event sent must be among them; if it goes on, its first id must not leave out a
 // step of a stream whose ids have been evenly spaced so far.
+//
+// Ids that are no numbers have no order that is known here. A server has begun again if its first id is the first or the last
+// one sent, and goes on otherwise. Events without an id are counted from the last id.
 package eventorder
 
 import (
 	"cmp"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // minEvenSteps is the number of equal steps between ids that show that a stream's ids are evenly spaced.
@@ -42,17 +46,28 @@
 type Order struct {
 	first, last eventID // of the accepted events
 	steps       spacing
+	// withoutID is the number of events without an id that have been accepted since the last one with an id.
+	withoutID int
+	// ambiguous is set when an id that is no number has come twice.
+	ambiguous bool
 	// position and previous, the id of its last event, are those of the current server.
 	position position
 	previous eventID
+	// repeated is the number of events without an id that the server still has to repeat after the last event.
+	repeated int
 }
 
 // Last returns the id of the last event accepted, or nothing.
 func (o *Order) Last() string { return o.last.text }
 
+// Resumable reports whether another server can go on with the stream: an id shows which event was the last one.
+func (o *Order) Resumable() bool {
+	return o.last.text != "" && !o.ambiguous || o.last.text == "" && o.withoutID == 0
+}
+
 // ServerChanged tells that the next events come from another server, which has been asked to go on after the last one.
 func (o *Order) ServerChanged() {
-	o.previous, o.position = eventID{}, following
+	o.previous, o.position, o.repeated = eventID{}, following, 0
 	if o.last.text != "" {
 		o.position = joining
 	}
@@ -62,7 +77,7 @@
 // event continues the stream; otherwise it has been sent before. An Error means that the server's events do not continue it.
 func (o *Order) Next(id string) (isNew bool, err error) {
 	if id == "" {
-		return o.withoutID()
+		return o.nextWithoutID()
 	}
 	event := parseID(id)
 	if o.position == joining {
@@ -84,18 +99,25 @@
 	return true, nil
 }
 
-// withoutID handles an event without an id.
-func (o *Order) withoutID() (isNew bool, err error) {
-	if o.position == joining {
+// nextWithoutID handles an event without an id.
+func (o *Order) nextWithoutID() (isNew bool, err error) {
+	switch {
+	case o.position == joining:
 		return false, Error("the stream is resumed without an event id")
+	case o.position == repeating:
+		return false, nil
+	case o.repeated > 0:
+		o.repeated--
+		return false, nil
 	}
-	return o.position == following, nil
+	o.withoutID++
+	return true, nil
 }
 
 // join handles the first event of a server that has been asked to go on.
 func (o *Order) join(event eventID) error {
 	order, known := event.compare(o.last)
-	if known && order <= 0 {
+	if known && order <= 0 || !known && (event.text == o.first.text || event.text == o.last.text) {
 		o.position = repeating
 		return nil
 	}
@@ -110,8 +132,8 @@
 func (o *Order) repeat(event eventID) error {
 	order, known := event.compare(o.last)
 	switch {
-	case known && order == 0:
-		o.position = following
+	case known && order == 0 || event.text == o.last.text:
+		o.position, o.repeated = following, o.withoutID
 	case known && order > 0:
 		return failure("the stream begins again without event id %s, id %s follows", o.last, event)
 	}
@@ -124,8 +146,9 @@
 		o.first = event
 	} else {
 		o.steps.add(o.last, event)
+		o.ambiguous = o.ambiguous || event.text == o.last.text
 	}
-	o.last = event
+	o.last, o.withoutID, o.repeated = event, 0, 0
 }
 
 // accepted reports whether an event with an id that is not above the last one is certain to have been accepted.
@@ -173,22 +196,32 @@
 // eventID is the id of an event.
 type eventID struct {
 	text string
+	// digits is the id without leading zeros if it is a decimal number of any size, or empty.
+	digits string
 	// number is its value if isNumber is set.
 	number   uint64
 	isNumber bool
 }
 
 func parseID(text string) eventID {
+	id := eventID{text: text}
+	if strings.Trim(text, "0123456789") != "" {
+		return id
+	}
+	if id.digits = strings.TrimLeft(text, "0"); id.digits == "" {
+		id.digits = "0"
+	}
 	number, err := strconv.ParseUint(text, 10, 64)
-	return eventID{text, number, err == nil}
+	id.number, id.isNumber = number, err == nil
+	return id
 }
 
 // compare compares two ids as in package cmp. known is false if they have no known order.
 func (e eventID) compare(other eventID) (order int, known bool) {
-	if !e.isNumber || !other.isNumber {
+	if e.digits == "" || other.digits == "" {
 		return 0, false
 	}
-	return cmp.Compare(e.number, other.number), true
+	return cmp.Or(cmp.Compare(len(e.digits), len(other.digits)), cmp.Compare(e.digits, other.digits)), true
 }
 
 func failure(format string, ids ...eventID) error {
--- a/pkg/eventorder/eventorder_test.go
+++ b/pkg/eventorder/eventorder_test.go
@@ -30,18 +30,21 @@
 // Guards against events that are lost, repeated or refused when servers break off at any event and others, which have
 // the same ids, go on or begin again.
 func TestStreamOfSuccessiveServersIsWhole(t *testing.T) {
-	for name, id := range map[string]func(i int) int{
-		"consecutive": func(i int) int { return i },
-		"from 0":      func(i int) int { return i - 1 },
-		"even":        func(i int) int { return 7 * i },
-		"uneven":      func(i int) int { return i * i },
+	for name, id := range map[string]func(i int) string{
+		"consecutive":   strconv.Itoa,
+		"from 0":        func(i int) string { return strconv.Itoa(i - 1) },
+		"even":          func(i int) string { return strconv.Itoa(7 * i) },
+		"uneven":        func(i int) string { return strconv.Itoa(i * i) },
+		"leading zeros": func(i int) string { return fmt.Sprintf("%03d", 4*i) },
+		"large":         func(i int) string { return fmt.Sprintf("%d00000000000000000000", i*i) },
+		"no numbers":    func(i int) string { return fmt.Sprint("event-", i) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(1, 2))
 			for range 500 {
 				var whole []string
 				for i := range 12 {
-					whole = append(whole, strconv.Itoa(id(i+1)))
+					whole = append(whole, id(i+1))
 				}
 				var servers [][]string
 				sent := 0
