--- a/internal/soak/plannedstop_test.go
+++ b/internal/soak/plannedstop_test.go
@@ -198,7 +198,7 @@
 	switch {
 	case resp.StatusCode != http.StatusOK && err == nil:
 		c.refused.Add(1)
-	case err == nil && string(body) == expectedStream():
+	case err == nil && string(body) == expectedStream(1):
 		c.whole.Add(1)
 	case err == nil:
 		err = fmt.Errorf("a response of %d bytes ended as whole", len(body))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,7 +51,9 @@
 }
 
 func runSeed(t *testing.T, seed uint64) {
-	env := newTestEnv(t, *nodesFlag, 3)
+	o := defaultOptions
+	o.idStep = 1 + 2*int(seed%2)
+	env := newTestEnvWith(t, *nodesFlag, 3, o)
 	s := startSoak(t, env, seed)
 	f := &injector{env: env, rng: rand.New(rand.NewPCG(seed, 1))}
 	f.kinds = f.allKinds()
@@ -181,7 +183,8 @@
 }
 
 func (f *injector) serverFault(d time.Duration) {
-	s := f.env.servers[f.rng.IntN(len(f.env.servers))]
+	i := f.rng.IntN(len(f.env.servers))
+	s, usual := f.env.servers[i], usualBehavior(i)
 	b := []standin.Behavior{{Lose: true}, {Reject: true}, {Fail: true}, {Echo: "another"}, {Unsigned: true}, {CutAfter: 4}, {StallAfter: 3},
 		{Gap: 300 * time.Millisecond}}[f.rng.IntN(8)]
 	share := 1 + f.rng.IntN(3)
@@ -190,10 +193,10 @@
 		if n.Add(1)%int64(share) == 0 {
 			return b
 		}
-		return standin.Behavior{Gap: 10 * time.Millisecond}
+		return usual
 	})
 	f.undoAfter(d, func() {
-		s.SetBehavior(func(*http.Request) standin.Behavior { return standin.Behavior{Gap: 10 * time.Millisecond} })
+		s.SetBehavior(func(*http.Request) standin.Behavior { return usual })
 	})
 }
 
@@ -321,7 +324,7 @@
 		signer := strings.TrimPrefix(resp.Header.Get("Pollenlug-Server-Signature"), "signed-by-")
 		want := fmt.Sprintf("answer of %s to %s", signer, id)
 		if path == "/quote/" {
-			want = expectedStream()
+			want = expectedStream(c.env.options.idStep)
 		}
 		if body != want || signer == "" {
 			c.violations = append(c.violations, fmt.Sprintf("%s got %q signed by %q", id, body, signer))
@@ -338,10 +341,10 @@
 	}
 }
 
-func expectedStream() string {
+func expectedStream(idStep int) string {
 	var b strings.Builder
 	for i := 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i*max(1, idStep), i)
 	}
 	return b.String()
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -79,10 +79,14 @@
 type envOptions struct {
 	// graceSeconds is the time between SIGTERM and SIGKILL, timeoutMS that of the routes.
 	graceSeconds, timeoutMS int
+	// idStep is the difference between the ids of successive events, 1 if it is 0.
+	idStep int
 }
 
+var defaultOptions = envOptions{graceSeconds: 3, timeoutMS: 5000}
+
 func newTestEnv(t *testing.T, nodes, services int) *testEnv {
-	return newTestEnvWith(t, nodes, services, envOptions{graceSeconds: 3, timeoutMS: 5000})
+	return newTestEnvWith(t, nodes, services, defaultOptions)
 }
 
 func newTestEnvWith(t *testing.T, nodes, services int, o envOptions) *testEnv {
@@ -132,7 +136,9 @@
 		n, service = 0, "desk"
 	}
 	s := standin.NewServer(fmt.Sprintf("%s-%d", service, len(env.servers)), n)
-	s.SetBehavior(func(*http.Request) standin.Behavior { return standin.Behavior{Gap: 10 * time.Millisecond} })
+	s.IDStep = env.options.idStep
+	usual := usualBehavior(len(env.servers))
+	s.SetBehavior(func(*http.Request) standin.Behavior { return usual })
 	env.t.Cleanup(s.Close)
 	p := newProxy(env.t, s.Addr())
 	env.rowsMu.Lock()
@@ -141,6 +147,11 @@
 	env.register(len(env.servers)-1, "ready", 1)
 }
 
+// usualBehavior is that of a server without a fault. Some servers begin streams again that are to be resumed.
+func usualBehavior(i int) standin.Behavior {
+	return standin.Behavior{Gap: 10 * time.Millisecond, Restart: i%3 == 0}
+}
+
 func (env *testEnv) register(i int, state string, sequence int) {
 	env.rowsMu.Lock()
 	defer env.rowsMu.Unlock()
