--- a/pkg/eventorder/eventorder.go
+++ b/pkg/eventorder/eventorder.go
@@ -37,7 +37,7 @@
 	following position = iota
 	// joining means that it has been asked to go on, and nothing of it is known.
 	joining
-	// repeating means that it has begun again and has not reached the last event accepted.
+	// repeating means that it has begun again, or gone back, and has not reached the last event accepted.
 	repeating
 )
 
@@ -81,15 +81,12 @@
 	}
 	event := parseID(id)
 	if o.position == joining {
-		if err := o.join(event); err != nil {
-			return false, err
-		}
+		err = o.join(event)
+	} else if order, known := event.compare(o.previous); known && order <= 0 {
+		err = o.goBack(event)
 	}
-	if order, known := event.compare(o.previous); known && order <= 0 {
-		if order == 0 || o.accepted(event) {
-			return false, nil
-		}
-		return false, failure("event id %s follows %s", event, o.previous)
+	if err != nil {
+		return false, err
 	}
 	o.previous = event
 	if o.position == repeating {
@@ -128,14 +125,24 @@
 	return nil
 }
 
-// repeat handles an event of a server that has begun again.
+// goBack handles an event whose id is not above that of the server's previous one. It is an error unless all events from
+// this one on are certain to be repetitions.
+func (o *Order) goBack(event eventID) error {
+	if order, _ := event.compare(o.previous); order < 0 && !o.accepted(event) {
+		return failure("event id %s follows %s", event, o.previous)
+	}
+	o.position = repeating
+	return nil
+}
+
+// repeat handles an event of a server that repeats events.
 func (o *Order) repeat(event eventID) error {
 	order, known := event.compare(o.last)
 	switch {
 	case known && order == 0 || event.text == o.last.text:
 		o.position, o.repeated = following, o.withoutID
 	case known && order > 0:
-		return failure("the stream begins again without event id %s, id %s follows", o.last, event)
+		return failure("id %s is not among the repeated events, id %s follows", o.last, event)
 	}
 	return nil
 }
@@ -160,7 +167,7 @@
 // End tells that the stream of the current server is complete. An Error means that it does not complete the stream.
 func (o *Order) End() error {
 	if o.position == repeating {
-		return failure("the stream begins again and ends before event id %s", o.last)
+		return failure("the stream ends with repeated events, before id %s", o.last)
 	}
 	return nil
 }
@@ -175,7 +182,7 @@
 // add adds the difference between two ids.
 func (s *spacing) add(from, to eventID) {
 	size := to.number - from.number
-	if !from.isNumber || !to.isNumber || s.count > 0 && size != s.size {
+	if !from.inRange || !to.inRange || s.count > 0 && size != s.size {
 		s.uneven = true
 		return
 	}
@@ -185,12 +192,12 @@
 
 // exceededBy reports whether the difference between two ids is too large for a stream whose ids are evenly spaced.
 func (s *spacing) exceededBy(from, to eventID) bool {
-	return !s.uneven && s.count >= minEvenSteps && to.isNumber && to.number-from.number > s.size
+	return !s.uneven && s.count >= minEvenSteps && to.inRange && to.number-from.number > s.size
 }
 
 // contain reports whether an id is any number of equal steps above the first one.
 func (s *spacing) contain(first, id eventID) bool {
-	return !s.uneven && s.count > 0 && id.isNumber && (id.number-first.number)%s.size == 0
+	return !s.uneven && s.count > 0 && id.inRange && (id.number-first.number)%s.size == 0
 }
 
 // eventID is the id of an event.
@@ -198,9 +205,9 @@
 	text string
 	// digits is the id without leading zeros if it is a decimal number of any size, or empty.
 	digits string
-	// number is its value if isNumber is set.
-	number   uint64
-	isNumber bool
+	// number is its value if inRange is set.
+	number  uint64
+	inRange bool
 }
 
 func parseID(text string) eventID {
@@ -212,7 +219,7 @@
 		id.digits = "0"
 	}
 	number, err := strconv.ParseUint(text, 10, 64)
-	id.number, id.isNumber = number, err == nil
+	id.number, id.inRange = number, err == nil
 	return id
 }
 
--- a/pkg/eventorder/eventorder_test.go
+++ b/pkg/eventorder/eventorder_test.go
@@ -76,6 +76,8 @@
 		{ids(2, 4, 6, 5, 8), ids(2, 4, 6), "event id 5 follows 6"},
 		{ids(1, 3, 4, 3), ids(1, 3, 4), "event id 3 follows 4"},
 		{ids(5, 2), ids(5), "event id 2 follows 5"},
+		{ids(1, 2, 3, 2), ids(1, 2, 3), "the stream ends with repeated events, before id 3"},
+		{[]string{"1", "2", "", "1", "2", "", "", "3"}, []string{"1", "2", "", "", "3"}, ""},
 	} {
 		t.Run(fmt.Sprint(test.events), func(t *testing.T) {
 			accepted, err := play(test.events)
