--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -67,6 +67,16 @@
 	return b.data.Write(line)
 }
 
+// maxShownLogs limits how many bytes of the nodes' logs a failed test shows.
+const maxShownLogs = 64 << 10
+
+// tail returns the last log lines, at most n bytes.
+func (b *logBuffer) tail(n int) []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Clone(b.data.Bytes()[max(0, b.data.Len()-n):])
+}
+
 // read parses what the nodes have logged so far.
 func (b *logBuffer) read(t *testing.T) *explain.Log {
 	b.mu.Lock()
@@ -87,6 +97,11 @@
 func newDeployment(t *testing.T) *deployment {
 	d := &deployment{t: t, store: standin.NewStore(), duties: &standin.Duties{}, grace: 500 * time.Millisecond, retrySlack: 50, memory: 256 << 20, maxConns: 50, usageWindow: time.Second,
 		callerLimits: map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("last log lines of the nodes:\n%s", d.logs.tail(maxShownLogs))
+		}
+	})
 	storeServer, dutyServer := standin.Listen(d.store), standin.Listen(d.duties)
 	t.Cleanup(storeServer.Close)
 	t.Cleanup(dutyServer.Close)
